--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,147 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// Check, apply, compare and list contracts; read the audit trail and the
+/// status; drain a router.
+#[derive(Debug, FromArgs)]
+pub struct Args {
+    /// print the version and exit
+    #[argh(switch)]
+    pub version: bool,
+    /// print JSON instead of text
+    #[argh(switch)]
+    pub json: bool,
+    /// operators' address of any router
+    #[argh(option)]
+    pub router: Option<SocketAddr>,
+    /// file with the operator's key
+    #[argh(option)]
+    pub key_file: Option<PathBuf>,
+    /// what to do
+    #[argh(subcommand)]
+    pub command: Option<Command>,
+}
+
+/// What to do.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Contracts.
+    Contract(ContractArgs),
+    /// Status.
+    Status(StatusArgs),
+    /// Audit trail.
+    Audit(AuditArgs),
+    /// Drain.
+    Drain(DrainArgs),
+    /// Keys.
+    Key(KeyArgs),
+}
+
+/// check, apply, compare and list contracts
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "contract")]
+pub struct ContractArgs {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: ContractCommand,
+}
+
+/// What to do with contracts.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum ContractCommand {
+    /// Check.
+    Check(CheckArgs),
+    /// Apply.
+    Apply(ApplyArgs),
+    /// Compare.
+    Diff(DiffArgs),
+    /// List.
+    List(ListArgs),
+}
+
+/// check files without a router; exits 2 and names every problem if one is
+/// wrong
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckArgs {
+    /// files with contracts
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
+/// write a contract and wait until it is in force everywhere
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub struct ApplyArgs {
+    /// file with the contract
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// version the change was made from; the one in force now if left out
+    #[argh(option)]
+    pub from_version: Option<u64>,
+}
+
+/// show what applying a file would change
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct DiffArgs {
+    /// file with the contract
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// list contracts, their versions, and whether each is in force everywhere
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct ListArgs {}
+
+/// show a router, its neighbours, contracts and endpoints
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusArgs {}
+
+/// show who changed which contract, when, and what differed
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "audit")]
+pub struct AuditArgs {
+    /// only this customer
+    #[argh(option)]
+    pub customer: Option<String>,
+}
+
+/// ask a router to stop without cutting off a request
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "drain")]
+pub struct DrainArgs {}
+
+/// digests of keys
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "key")]
+pub struct KeyArgs {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: KeyCommand,
+}
+
+/// What to do with keys.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum KeyCommand {
+    /// Digest.
+    Digest(DigestArgs),
+}
+
+/// print the digest of the key in a file, for a contract or the settings
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "digest")]
+pub struct DigestArgs {
+    /// file with the key
+    #[argh(positional)]
+    pub file: PathBuf,
+}
--- /dev/null
+++ b/crates/cli/src/commands.rs
@@ -0,0 +1,81 @@
+//! What each command does.
+
+use std::fs;
+
+use serde_json::Value;
+
+use briarhall_types::Digest;
+
+use crate::args::Args;
+use crate::args::AuditArgs;
+use crate::args::Command;
+use crate::args::DigestArgs;
+use crate::args::KeyCommand;
+use crate::client::Client;
+use crate::contracts;
+use crate::error::CommandError;
+use crate::show;
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns why it failed.
+pub fn run(args: Args) -> Result<(), CommandError> {
+    if args.version {
+        println!("briarhall {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let Some(command) = &args.command else {
+        let usage = "name a command: contract, status, audit, drain or key; see `--help`";
+        return Err(CommandError::Usage(usage.to_owned()));
+    };
+    match command {
+        Command::Contract(contract) => contracts::run(&args, &contract.command),
+        Command::Status(_) => status(&args),
+        Command::Audit(audit) => show_audit(&args, audit),
+        Command::Drain(_) => drain(&args),
+        Command::Key(key) => match &key.command {
+            KeyCommand::Digest(digest) => print_digest(digest),
+        },
+    }
+}
+
+fn status(args: &Args) -> Result<(), CommandError> {
+    let status = Client::new(args)?.get::<Value>("/operator/status")?;
+    if args.json {
+        show::json(&status);
+    } else {
+        show::status(&status);
+    }
+    Ok(())
+}
+
+fn show_audit(args: &Args, audit: &AuditArgs) -> Result<(), CommandError> {
+    let path = match &audit.customer {
+        Some(customer) => format!("/operator/audit?customer={customer}"),
+        None => "/operator/audit".to_owned(),
+    };
+    let entries = Client::new(args)?.get::<Value>(&path)?;
+    if args.json {
+        show::json(&entries);
+    } else {
+        show::audit(&entries);
+    }
+    Ok(())
+}
+
+fn drain(args: &Args) -> Result<(), CommandError> {
+    Client::new(args)?.post("/operator/drain")?;
+    println!(
+        "the router drains: it leaves the list of addresses and stops when its last request has ended"
+    );
+    Ok(())
+}
+
+fn print_digest(digest: &DigestArgs) -> Result<(), CommandError> {
+    let path = digest.file.clone();
+    let key = fs::read_to_string(&path).map_err(|source| CommandError::Read { path, source })?;
+    println!("{}", Digest::of(key.trim().as_bytes()));
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/error.rs
@@ -0,0 +1,57 @@
+//! Why a command failed.
+
+use std::io;
+use std::path::PathBuf;
+
+use thiserror::Error;
+
+use briarhall_net::HttpError;
+use briarhall_settings::Findings;
+use briarhall_types::Problem;
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_BAD_INPUT: u8 = 2;
+
+/// Says why a command failed.
+#[derive(Debug, Error)]
+pub enum CommandError {
+    /// The command line is wrong.
+    #[error("briarhall: {0}")]
+    Usage(String),
+    /// A file is wrong.
+    #[error("{0}")]
+    Findings(#[from] Findings),
+    /// A file cannot be read.
+    #[error("{path}: cannot be read: {source}; check the path and its permissions", path = path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The router did not answer.
+    #[error("briarhall: {0}; check `--router`, or name another router")]
+    Call(#[from] HttpError),
+    /// The router refused.
+    #[error("briarhall: {title} ({status}): {detail}", title = .0.title, status = .0.status, detail = .0.detail)]
+    Refused(Problem),
+    /// Something was written and is not in force everywhere yet.
+    #[error(
+        "briarhall: version {0} is written and pending: it is not yet in force at enough routers; look again with `briarhall contract list`"
+    )]
+    Pending(u64),
+}
+
+impl CommandError {
+    /// Returns the exit code: 2 for bad input, 1 for everything else.
+    #[must_use]
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Usage(_) | Self::Findings(_) | Self::Read { .. } => EXIT_BAD_INPUT,
+            Self::Refused(problem) if problem.status == 422 || problem.status == 400 => {
+                EXIT_BAD_INPUT
+            }
+            _ => EXIT_FAILED,
+        }
+    }
+}
--- /dev/null
+++ b/crates/endpoint/src/engine.rs
@@ -0,0 +1,315 @@
+//! Client of model engines.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use hyper::Method;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+
+use briarhall_net::Body;
+use briarhall_net::Call;
+use briarhall_net::HttpClient;
+use briarhall_net::HttpError;
+use briarhall_net::read_limited;
+use briarhall_types::AttemptId;
+use briarhall_types::LoadReport;
+
+use crate::EngineError;
+use crate::EventStream;
+use crate::Refused;
+use crate::wire::Holding;
+use crate::wire::Order;
+use crate::wire::PrefillCall;
+use crate::wire::ReserveCall;
+
+const MAX_REASON_BYTES: usize = 4_096;
+
+/// Who holds something at an engine, and for how long unless renewed.
+#[derive(Debug, Clone)]
+pub struct Lease {
+    /// The holder.
+    pub owner: CompactString,
+    /// How long.
+    pub life: Duration,
+}
+
+/// Calls model engines.
+#[derive(Debug, Clone)]
+pub struct EngineClient {
+    client: HttpClient,
+}
+
+impl EngineClient {
+    /// Creates a client.
+    #[must_use]
+    pub fn new(client: HttpClient) -> Self {
+        Self { client }
+    }
+
+    /// Starts an attempt and returns its stream. `body` is a
+    /// [`CompletionCall`](crate::wire::CompletionCall) in JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that tells whether the engine may have run it.
+    pub async fn start(
+        &self,
+        address: SocketAddr,
+        attempt: AttemptId,
+        body: Bytes,
+        resume_from: u64,
+        lease: &Lease,
+        limit: Duration,
+    ) -> Result<EventStream, EngineError> {
+        let id = attempt.to_string();
+        let call = Call::post(address, "/v1/completions")
+            .header("content-type", "application/json")
+            .header("x-request-id", &id)
+            .header("x-owner", &lease.owner)
+            .header("x-lease-ms", lease.life.as_millis().to_string())
+            .body(Body::whole(body));
+        let reply = self.accepted(call, limit).await?;
+        Ok(EventStream::new(reply.into_body(), id, resume_from))
+    }
+
+    /// Opens the stream of a running attempt again, from token `from`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the engine does not know the attempt any more.
+    pub async fn resume(
+        &self,
+        address: SocketAddr,
+        attempt: AttemptId,
+        from: u64,
+        limit: Duration,
+    ) -> Result<EventStream, EngineError> {
+        let id = attempt.to_string();
+        let call = Call::get(address, format!("/v1/requests/{id}/stream?from={from}"));
+        let reply = self.accepted(call, limit).await?;
+        Ok(EventStream::new(reply.into_body(), id, from))
+    }
+
+    /// Ends an attempt and frees its memory. Repeats do nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the engine does not answer.
+    pub async fn cancel(
+        &self,
+        address: SocketAddr,
+        attempt: AttemptId,
+        limit: Duration,
+    ) -> Result<(), EngineError> {
+        let path = format!("/v1/requests/{attempt}");
+        self.remove(address, path, limit).await
+    }
+
+    /// Ends whatever holds memory under this name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the engine does not answer.
+    pub async fn free(
+        &self,
+        address: SocketAddr,
+        holding: &Holding,
+        limit: Duration,
+    ) -> Result<(), EngineError> {
+        let path = match holding.kind {
+            crate::wire::HoldingKind::Request => format!("/v1/requests/{}", holding.name),
+            crate::wire::HoldingKind::Reservation => format!("/v1/reservations/{}", holding.name),
+        };
+        self.remove(address, path, limit).await
+    }
+
+    /// Reserves memory. Idempotent by name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the engine has no room or does not answer.
+    pub async fn reserve(
+        &self,
+        address: SocketAddr,
+        call: &ReserveCall,
+        limit: Duration,
+    ) -> Result<(), EngineError> {
+        let call = Call::post(address, "/v1/reservations").json(call);
+        self.accepted(call, limit).await.map(drop)
+    }
+
+    /// Prefills a part of a prompt into a reservation; answers when done.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the reservation is gone or the engine does not
+    /// answer.
+    pub async fn prefill(
+        &self,
+        address: SocketAddr,
+        reservation: &str,
+        call: &PrefillCall,
+        limit: Duration,
+    ) -> Result<(), EngineError> {
+        let path = format!("/v1/reservations/{reservation}/prefill");
+        let call = Call::post(address, path).json(call);
+        self.accepted(call, limit).await.map(drop)
+    }
+
+    /// Releases a reservation. Repeats do nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the engine does not answer.
+    pub async fn release(
+        &self,
+        address: SocketAddr,
+        reservation: &str,
+        limit: Duration,
+    ) -> Result<(), EngineError> {
+        let path = format!("/v1/reservations/{reservation}");
+        self.remove(address, path, limit).await
+    }
+
+    /// Prolongs the lease on an attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the engine does not know it or does not answer.
+    pub async fn renew_attempt(
+        &self,
+        address: SocketAddr,
+        attempt: AttemptId,
+        lease: &Lease,
+        limit: Duration,
+    ) -> Result<(), EngineError> {
+        let path = format!("/v1/requests/{attempt}/renew");
+        self.renew(address, path, lease, limit).await
+    }
+
+    /// Prolongs the lease on a reservation.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the engine does not know it or does not answer.
+    pub async fn renew_reservation(
+        &self,
+        address: SocketAddr,
+        reservation: &str,
+        lease: &Lease,
+        limit: Duration,
+    ) -> Result<(), EngineError> {
+        let path = format!("/v1/reservations/{reservation}/renew");
+        self.renew(address, path, lease, limit).await
+    }
+
+    /// Reads the load report.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the engine does not answer.
+    pub async fn load(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<LoadReport, EngineError> {
+        let call = Call::get(address, "/v1/load");
+        Ok(self.client.fetch(call, limit).await?)
+    }
+
+    /// Reads what holds the engine's memory.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the engine does not answer.
+    pub async fn holdings(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Vec<Holding>, EngineError> {
+        let call = Call::get(address, "/v1/holdings");
+        Ok(self.client.fetch(call, limit).await?)
+    }
+
+    /// Gives an order.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the engine refuses or does not answer.
+    pub async fn order(
+        &self,
+        address: SocketAddr,
+        order: &Order,
+        limit: Duration,
+    ) -> Result<(), EngineError> {
+        let call = Call::post(address, "/v1/orders").json(order);
+        self.accepted(call, limit).await.map(drop)
+    }
+
+    async fn renew(
+        &self,
+        address: SocketAddr,
+        path: String,
+        lease: &Lease,
+        limit: Duration,
+    ) -> Result<(), EngineError> {
+        let call =
+            Call::post(address, path).header("x-lease-ms", lease.life.as_millis().to_string());
+        self.accepted(call, limit).await.map(drop)
+    }
+
+    async fn remove(
+        &self,
+        address: SocketAddr,
+        path: String,
+        limit: Duration,
+    ) -> Result<(), EngineError> {
+        let call = Call::new(Method::DELETE, address, path);
+        let reply = self.client.send(call, limit).await?;
+        let code = reply.status();
+        if code.is_success() || code == StatusCode::NOT_FOUND {
+            return Ok(());
+        }
+        Err(refused(code, String::new()))
+    }
+
+    async fn accepted(
+        &self,
+        call: Call,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, EngineError> {
+        let reply = self.client.send(call, limit).await?;
+        let code = reply.status();
+        if code.is_success() {
+            return Ok(reply);
+        }
+        // The reason only helps whoever reads the log.
+        let reason = read_limited(reply.into_body(), MAX_REASON_BYTES).await;
+        let reason = reason.unwrap_or_default();
+        Err(refused(code, String::from_utf8_lossy(&reason).into_owned()))
+    }
+}
+
+fn refused(code: StatusCode, reason: String) -> EngineError {
+    let kind = match code {
+        StatusCode::SERVICE_UNAVAILABLE => Refused::Leaving,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::INSUFFICIENT_STORAGE => Refused::Full,
+        StatusCode::PAYLOAD_TOO_LARGE => Refused::TooLarge,
+        StatusCode::CONFLICT | StatusCode::NOT_FOUND | StatusCode::PRECONDITION_FAILED => {
+            Refused::Conflict
+        }
+        _ if code.is_client_error() => Refused::Invalid,
+        // Only a client error proves that nothing ran.
+        _ => {
+            return EngineError::Http(HttpError::Malformed {
+                address: SocketAddr::from(([0, 0, 0, 0], 0)),
+                reason: format!("status {code}: {reason}"),
+            });
+        }
+    };
+    EngineError::Refused { kind, reason }
+}
--- /dev/null
+++ b/crates/endpoint/src/lib.rs
@@ -0,0 +1,22 @@
+//! Clients of model engines and plain services.
+//!
+//! Both tell, for every failure, whether the endpoint may have run the request:
+//! the answer to the caller depends on nothing else.
+
+mod engine;
+mod error;
+mod service;
+mod stream;
+pub mod wire;
+
+pub use engine::EngineClient;
+pub use engine::Lease;
+pub use error::EngineError;
+pub use error::Ran;
+pub use error::Refused;
+pub use service::ServiceClient;
+pub use service::ServiceReply;
+pub use service::ServiceRequest;
+pub use stream::Event;
+pub use stream::EventStream;
+pub use stream::StreamError;
--- /dev/null
+++ b/crates/lab/src/caller/mod.rs
@@ -0,0 +1,51 @@
+//! A caller: asks for addresses, keeps the answer for its time, sends requests
+//! and checks every byte of the answers.
+
+mod addresses;
+mod completion;
+mod topup;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use briarhall_net::HttpClient;
+
+pub use addresses::AddressBook;
+pub use completion::Answer;
+pub use completion::CompletionPlan;
+pub use completion::Verdict;
+pub use completion::complete;
+pub use topup::TopUp;
+pub use topup::TopUpVerdict;
+pub use topup::top_up;
+
+/// Who calls, and through what.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    /// The client.
+    pub client: HttpClient,
+    /// Key of the contract.
+    pub key: String,
+    /// Time after which a request without a final answer counts as lost. Longer
+    /// than any contract's time limit.
+    pub patience: Duration,
+}
+
+impl Caller {
+    /// Creates a caller.
+    #[must_use]
+    pub fn new(client: HttpClient, key: &str, patience: Duration) -> Self {
+        Self {
+            client,
+            key: key.to_owned(),
+            patience,
+        }
+    }
+
+    fn authorization(&self) -> String {
+        format!("Bearer {}", self.key)
+    }
+}
+
+/// Where a request goes.
+pub type RouterAddress = SocketAddr;
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,43 @@
+//! `briarhall-lab`: load and experiments on loopback.
+
+mod args;
+mod demo;
+mod error;
+
+use std::process::ExitCode;
+
+use mimalloc::MiMalloc;
+
+use crate::args::Args;
+use crate::args::Command;
+use crate::error::LabError;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_BAD_INPUT: u8 = 2;
+
+fn main() -> ExitCode {
+    match run(&argh::from_env::<Args>()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(match e {
+                LabError::Usage(_) => EXIT_BAD_INPUT,
+                _ => EXIT_FAILED,
+            })
+        }
+    }
+}
+
+fn run(args: &Args) -> Result<(), LabError> {
+    if args.version {
+        println!("briarhall-lab {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    match &args.command {
+        Some(Command::Demo(demo)) => demo::run(demo),
+        None => Err(LabError::Usage("name what to run; see `--help`".to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/site/process.rs
@@ -0,0 +1,212 @@
+//! One child process, ended when dropped.
+
+use std::fs;
+use std::fs::File;
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use serde_json::Value;
+
+use super::SiteError;
+
+static NEXT_DIR: AtomicU64 = AtomicU64::new(0);
+
+/// A child process that said where it listens.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+    ready: Value,
+    log: PathBuf,
+}
+
+impl Process {
+    /// Starts a program and reads its first line.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it cannot be started or prints nothing.
+    pub fn start(
+        program: &str,
+        name: &str,
+        args: &[String],
+        dir: &Path,
+    ) -> Result<Self, SiteError> {
+        let path = program_path(program);
+        let log = dir.join(format!("{name}.log"));
+        let log_file = File::options().append(true).create(true).open(&log);
+        let log_file = log_file.map_err(|source| SiteError::Write {
+            path: log.clone(),
+            source,
+        })?;
+        let mut child = Command::new(&path)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log_file)
+            .spawn()
+            .map_err(|source| SiteError::Start {
+                program: path,
+                source,
+            })?;
+        let ready = first_line(&mut child).unwrap_or_default();
+        let process = Self {
+            name: name.to_owned(),
+            child,
+            ready,
+            log,
+        };
+        if process.ready.is_null() {
+            return Err(process.not_listening());
+        }
+        Ok(process)
+    }
+
+    /// Returns an address from the process's first line.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the line has none.
+    pub fn address(&self, field: &str) -> Result<SocketAddr, SiteError> {
+        let text = self.ready[field].as_str();
+        let address = text.and_then(|text| text.parse().ok());
+        address.ok_or_else(|| self.not_listening())
+    }
+
+    /// Returns a text from the process's first line, empty if there is none.
+    #[must_use]
+    pub fn text(&self, field: &str) -> String {
+        self.ready[field].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        // One that has ended already is no error.
+        let _ended = self.child.kill();
+        let _reaped = self.child.wait();
+    }
+
+    /// Asks the process to end in order.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Stops the process where it stands.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Returns the exit code once the process has ended; nothing while it
+    /// runs or when a signal ended it.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().ok().flatten()?.code()
+    }
+
+    /// Returns whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Returns the process's id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).ok();
+        if let Some(pid) = id.and_then(Pid::from_raw) {
+            // One that has ended already is no error.
+            let _ended = rustix::process::kill_process(pid, signal);
+        }
+    }
+
+    fn not_listening(&self) -> SiteError {
+        SiteError::NotListening {
+            name: self.name.clone(),
+            log: self.log.clone(),
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn first_line(child: &mut Child) -> Option<Value> {
+    let out = child.stdout.take()?;
+    let mut line = String::new();
+    BufReader::new(out).read_line(&mut line).ok()?;
+    serde_json::from_str(&line).ok()
+}
+
+/// Programs lie beside this one; a test's own program lies one folder below.
+fn program_path(program: &str) -> PathBuf {
+    let own = std::env::current_exe().unwrap_or_default();
+    let mut dir = own.parent().unwrap_or(Path::new(".")).to_owned();
+    if dir.ends_with("deps") {
+        dir.pop();
+    }
+    dir.join(program)
+}
+
+/// Runs a program to its end.
+pub(super) fn run_to_end(program: &str, args: &[String]) -> Result<String, SiteError> {
+    let path = program_path(program);
+    let output = Command::new(&path)
+        .args(args)
+        .output()
+        .map_err(|source| SiteError::Start {
+            program: path,
+            source,
+        })?;
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    if output.status.success() {
+        return Ok(text(&output.stdout));
+    }
+    Err(SiteError::Command {
+        command: format!("{program} {}", args.join(" ")),
+        output: text(&output.stderr),
+    })
+}
+
+/// Makes a folder for one site.
+pub(super) fn work_dir() -> Result<PathBuf, SiteError> {
+    let number = NEXT_DIR.fetch_add(1, Ordering::Relaxed);
+    let name = format!("briarhall-lab-{}-{number}", process::id());
+    let dir = std::env::temp_dir().join(name);
+    let made = fs::create_dir_all(&dir);
+    made.map_err(|source| write_error(&dir, source))?;
+    Ok(dir)
+}
+
+/// Writes a file.
+pub(super) fn write(path: &Path, text: &str) -> Result<(), SiteError> {
+    fs::write(path, text).map_err(|source| write_error(path, source))
+}
+
+fn write_error(path: &Path, source: io::Error) -> SiteError {
+    SiteError::Write {
+        path: path.to_owned(),
+        source,
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/lib.rs
@@ -0,0 +1,24 @@
+//! Calls between routers, over tarpc.
+//!
+//! A connection opens with the digest of a secret that all routers share;
+//! whoever does not know it is cut off before a call is read.
+
+mod client;
+mod messages;
+mod server;
+mod transport;
+
+pub use client::MeshError;
+pub use client::MeshPeer;
+pub use messages::ClaimReply;
+pub use messages::ClaimRequest;
+pub use messages::HeldResult;
+pub use messages::PullReply;
+pub use messages::PullRequest;
+pub use messages::RelayedLoad;
+pub use messages::ResultReply;
+pub use messages::ResultRequest;
+pub use messages::ShareReply;
+pub use messages::ShareRequest;
+pub use server::MeshHandler;
+pub use server::serve_mesh;
--- /dev/null
+++ b/crates/net/src/body.rs
@@ -0,0 +1,181 @@
+//! One body type for requests and replies: whole, or fed through a channel.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_lite::Stream;
+use http_body::Frame;
+use http_body::SizeHint;
+use http_body_util::BodyExt;
+use thiserror::Error;
+
+const CHANNEL_FRAMES: usize = 64;
+
+/// The type of error a [`Body`] can give: the writer went away half-way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the body was cut short")]
+pub struct BodyError;
+
+impl From<Infallible> for BodyError {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+/// A body that is whole or comes through a channel.
+#[derive(Debug)]
+pub enum Body {
+    /// All of it, or nothing when already read.
+    Whole(Option<Bytes>),
+    /// Frames from a [`BodySender`].
+    Channel(Pin<Box<Receiver<Piece>>>),
+}
+
+/// A message from a [`BodySender`].
+#[derive(Debug)]
+pub enum Piece {
+    /// Some bytes.
+    Data(Bytes),
+    /// The body ends here as it should.
+    End,
+}
+
+/// Feeds a channel body. Dropping it without [`BodySender::finish`] makes the
+/// reader see an error instead of an end.
+#[derive(Debug)]
+pub struct BodySender {
+    tx: Sender<Piece>,
+}
+
+/// The reader of a body went away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the reader went away")]
+pub struct ReaderGone;
+
+impl BodySender {
+    /// Sends bytes, waiting while the reader is slow.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the reader went away.
+    pub async fn send(&self, bytes: Bytes) -> Result<(), ReaderGone> {
+        self.tx
+            .send(Piece::Data(bytes))
+            .await
+            .map_err(|_e| ReaderGone)
+    }
+
+    /// Ends the body.
+    pub async fn finish(self) {
+        // A reader that went away needs no end.
+        let _gone = self.tx.send(Piece::End).await;
+    }
+
+    /// Waits until the reader goes away.
+    pub async fn closed(&self) {
+        self.tx.closed().await;
+    }
+}
+
+impl Body {
+    /// Creates an empty body.
+    #[must_use]
+    pub fn empty() -> Self {
+        Self::Whole(None)
+    }
+
+    /// Creates a body that is whole.
+    #[must_use]
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()))
+    }
+
+    /// Creates a body fed through a channel.
+    #[must_use]
+    pub fn channel() -> (BodySender, Self) {
+        let (tx, rx) = async_channel::bounded(CHANNEL_FRAMES);
+        (BodySender { tx }, Self::Channel(Box::pin(rx)))
+    }
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Channel(rx) => match rx.as_mut().poll_next(cx) {
+                Poll::Pending => Poll::Pending,
+                Poll::Ready(Some(Piece::Data(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                Poll::Ready(Some(Piece::End)) => Poll::Ready(None),
+                Poll::Ready(None) => Poll::Ready(Some(Err(BodyError))),
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Channel(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Says why a body could not be read whole.
+#[derive(Debug, Error)]
+pub enum BodyTooLarge {
+    /// It is longer than allowed.
+    #[error("the body is longer than {limit} bytes")]
+    TooLarge {
+        /// The limit, in bytes.
+        limit: usize,
+    },
+    /// The writer stopped half-way.
+    #[error("the body was cut short: {0}")]
+    Cut(String),
+}
+
+/// Reads a body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Returns an error when the body is longer or is cut short.
+pub async fn read_limited<B>(mut body: B, limit: usize) -> Result<Bytes, BodyTooLarge>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    let too_large = || BodyTooLarge::TooLarge { limit };
+    if body.size_hint().lower() > limit as u64 {
+        return Err(too_large());
+    }
+    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(0);
+    let mut buf = BytesMut::with_capacity(expected);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| BodyTooLarge::Cut(e.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if buf.len() + data.len() > limit {
+            return Err(too_large());
+        }
+        buf.extend_from_slice(&data);
+    }
+    Ok(buf.freeze())
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,42 @@
+//! The plumbing every program shares: executor threads, HTTP over hyper,
+//! timeouts, logs and metrics.
+//!
+//! No decision is taken here. Programs differ only in the handler they pass to
+//! [`serve`] and in what they do with the answers of [`HttpClient`].
+
+mod body;
+mod client;
+mod exec;
+mod logging;
+mod metrics;
+mod reply;
+mod server;
+mod timeout;
+
+pub use body::Body;
+pub use body::BodyError;
+pub use body::BodySender;
+pub use body::BodyTooLarge;
+pub use body::read_limited;
+pub use client::Call;
+pub use client::HttpClient;
+pub use client::HttpError;
+pub use client::Phase;
+pub use exec::Executor;
+pub use exec::SpawnThreadsError;
+pub use exec::Threads;
+pub use exec::TimerRuntime;
+pub use logging::LogError;
+pub use logging::Logging;
+pub use metrics::Metrics;
+pub use metrics::MetricsError;
+pub use reply::event;
+pub use reply::json;
+pub use reply::problem;
+pub use reply::status;
+pub use server::Handler;
+pub use server::ServerOptions;
+pub use server::bind;
+pub use server::serve;
+pub use timeout::Elapsed;
+pub use timeout::timeout;
--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,120 @@
+//! HTTP server over hyper.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener as StdListener;
+use std::time::Duration;
+
+use async_io::Async;
+use async_net::TcpListener;
+use async_net::TcpStream;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::SmolTimer;
+use socket2::Domain;
+use socket2::Protocol;
+use socket2::Socket;
+use socket2::Type;
+
+use crate::Body;
+use crate::Executor;
+
+/// Connections that may wait to be accepted; the default of 128 makes bursts
+/// wait a second for a repeated SYN.
+const LISTEN_BACKLOG: i32 = 4_096;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers requests.
+pub trait Handler: Clone + Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(
+        &self,
+        req: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> impl Future<Output = Response<Body>> + Send;
+}
+
+/// Limits on what a client may send.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerOptions {
+    /// Time for the head of a request to arrive.
+    pub header_timeout: Duration,
+    /// Bytes of the head of a request.
+    pub max_header_bytes: usize,
+}
+
+impl Default for ServerOptions {
+    fn default() -> Self {
+        Self {
+            header_timeout: Duration::from_secs(10),
+            max_header_bytes: 64 * 1024,
+        }
+    }
+}
+
+/// Opens a listening socket.
+///
+/// # Errors
+///
+/// Returns the system's error, such as when the address is in use.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(LISTEN_BACKLOG)?;
+    let listener = Async::<StdListener>::new(socket.into())?;
+    Ok(listener.into())
+}
+
+/// Accepts connections for ever and answers each request with `handler`.
+pub async fn serve<H>(listener: TcpListener, executor: Executor, options: ServerOptions, handler: H)
+where
+    H: Handler,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let handler = handler.clone();
+                executor.detach(serve_connection(stream, peer, options, handler));
+            }
+            Err(e) => {
+                // Out of descriptors, most likely: wait for some to close.
+                log::warn!(error = e.to_string().as_str(); "cannot accept a connection");
+                async_io::Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<H>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    options: ServerOptions,
+    handler: H,
+) where
+    H: Handler,
+{
+    // Without it answers are only slower.
+    let _refused = stream.set_nodelay(true);
+    let service = service_fn(|req| {
+        let handler = handler.clone();
+        async move { Ok::<_, io::Error>(handler.handle(req, peer).await) }
+    });
+    let served = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(options.header_timeout)
+        .max_buf_size(options.max_header_bytes)
+        .serve_connection(FuturesIo::new(stream), service)
+        .await;
+    if let Err(e) = served {
+        log::debug!(peer = peer.to_string().as_str(), error = e.to_string().as_str(); "connection ended");
+    }
+}
--- /dev/null
+++ b/crates/platform/src/error.rs
@@ -0,0 +1,56 @@
+//! What can go wrong towards the platform, by what the caller may conclude.
+
+use std::time::Duration;
+
+use thiserror::Error;
+
+use briarhall_types::Revision;
+
+/// Says why a call to the platform gave no result.
+#[derive(Debug, Error)]
+pub enum PlatformError {
+    /// The precondition of a write failed; nothing was written.
+    #[error("the object changed meanwhile; it is at version {current:?}")]
+    Conflict {
+        /// Version the object has, if it exists.
+        current: Option<Revision>,
+    },
+    /// There is no such object.
+    #[error("there is no such object")]
+    NotFound,
+    /// The platform's rate limit refused the call; nothing was written.
+    #[error("the platform refused the call for its rate; come back in {retry_after:?}")]
+    Limited {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// The platform is down; nothing was written.
+    #[error("the platform is not available: {reason}")]
+    Unavailable {
+        /// What was seen.
+        reason: String,
+    },
+    /// No answer came; a write may have taken effect.
+    #[error("no answer from the platform, the write may have taken effect: {reason}")]
+    Uncertain {
+        /// What was seen.
+        reason: String,
+    },
+    /// The history needed by a watch is gone; list again.
+    #[error("the watch fell behind; list again")]
+    Expired,
+    /// The answer was not of the expected form.
+    #[error("the platform's answer is not understood: {reason}")]
+    Malformed {
+        /// What was wrong.
+        reason: String,
+    },
+}
+
+impl PlatformError {
+    /// Returns whether a write that met this error may have taken effect.
+    #[must_use]
+    pub fn may_have_written(&self) -> bool {
+        matches!(self, Self::Uncertain { .. } | Self::Malformed { .. })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/book/queries.rs
@@ -0,0 +1,117 @@
+//! Questions about the configuration held.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+
+use briarhall_types::Contract;
+use briarhall_types::Digest;
+use briarhall_types::Revision;
+
+use super::Book;
+use super::CONTRACT_PREFIX;
+use super::ConfigValue;
+use super::ContractRecord;
+use super::Entry;
+use super::ROSTER;
+use super::Update;
+use crate::members::Roster;
+
+/// A contract together with the version that is in force.
+#[derive(Debug, Clone)]
+pub struct InForce {
+    /// Version of the contract.
+    pub version: Revision,
+    /// The contract.
+    pub contract: Arc<Contract>,
+}
+
+impl Book {
+    /// Returns the revision up to which everything is held.
+    #[must_use]
+    pub fn held(&self) -> Revision {
+        self.held
+    }
+
+    /// Returns the revision of the newest change held.
+    #[must_use]
+    pub fn newest(&self) -> Revision {
+        self.newest
+    }
+
+    /// Returns what a holder of everything up to `since` lacks.
+    #[must_use]
+    pub fn update_since(&self, since: Revision) -> Update {
+        // Deletes before the floor left no trace here, so only a whole copy
+        // can tell of them.
+        let since = if since < self.floor { 0 } else { since };
+        let changed = self.entries.iter().filter(|(_, e)| e.version > since);
+        Update {
+            since,
+            up_to: self.held,
+            entries: changed.map(|(n, e)| (n.clone(), e.clone())).collect(),
+        }
+    }
+
+    /// Returns the contract that a key proves.
+    #[must_use]
+    pub fn by_key(&self, digest: &Digest) -> Option<InForce> {
+        let name = self.by_key.get(&digest.to_bytes())?;
+        let (version, record) = self.record(name)?;
+        // The index found a candidate; the comparison that decides takes
+        // constant time.
+        let proved = record.contract.key_digests.iter().any(|d| d == digest);
+        proved.then(|| InForce {
+            version,
+            contract: Arc::clone(&record.contract),
+        })
+    }
+
+    /// Returns a customer's contract.
+    #[must_use]
+    pub fn contract(&self, customer: &str) -> Option<InForce> {
+        let name = format_compact!("{CONTRACT_PREFIX}{customer}");
+        let (version, record) = self.record(&name)?;
+        Some(InForce {
+            version,
+            contract: Arc::clone(&record.contract),
+        })
+    }
+
+    /// Returns every contract's record, by object name.
+    pub fn records(&self) -> impl Iterator<Item = (&CompactString, Revision, &ContractRecord)> {
+        self.entries
+            .iter()
+            .filter_map(|(name, entry)| match &entry.value {
+                Some(ConfigValue::Contract(record)) => Some((name, entry.version, record)),
+                _ => None,
+            })
+    }
+
+    /// Returns the roster, empty when none was ever written.
+    #[must_use]
+    pub fn roster(&self) -> Arc<Roster> {
+        match self.entries.get(ROSTER) {
+            Some(Entry {
+                value: Some(ConfigValue::Roster(roster)),
+                ..
+            }) => Arc::clone(roster),
+            _ => Arc::default(),
+        }
+    }
+
+    /// Returns the roster's version, zero when none was ever written.
+    #[must_use]
+    pub fn roster_version(&self) -> Revision {
+        self.entries.get(ROSTER).map_or(0, |entry| entry.version)
+    }
+
+    fn record(&self, name: &str) -> Option<(Revision, &ContractRecord)> {
+        let entry = self.entries.get(name)?;
+        match &entry.value {
+            Some(ConfigValue::Contract(record)) => Some((entry.version, record)),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/duty.rs
@@ -0,0 +1,194 @@
+//! Leases on the stewards' duties, kept in the object API.
+//!
+//! A lease is an object that its holder writes again and again. No clock is
+//! compared with another: whoever wants the lease watches, on its own clock,
+//! how long the object has stayed the same. The version of the write that took
+//! the lease is the fencing number of every order given under it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
+
+use briarhall_types::Revision;
+
+/// How often a holder renews.
+pub const RENEW_EVERY: Duration = Duration::from_millis(700);
+/// A holder gives no order this long after its last renewal began.
+pub const HOLD_FOR: Duration = Duration::from_secs(3);
+/// A lease that has not changed for this long may be taken.
+pub const TAKE_AFTER: Duration = Duration::from_secs(5);
+/// Longest time an order given in time may still be under way.
+pub const ORDER_LIMIT: Duration = Duration::from_secs(2);
+
+/// The lease as it is stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// Who holds it.
+    pub holder: CompactString,
+    /// Fencing number: version of the write that took it, zero in that write.
+    pub fencing: Revision,
+    /// Set when the holder gave it up in order.
+    #[serde(default)]
+    pub released: bool,
+}
+
+/// What to do about a lease.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Move {
+    /// Write it, on condition that it still has this version (absent if none).
+    Write(Option<Revision>, Lease),
+    /// Nothing now.
+    Wait,
+}
+
+#[derive(Debug, Clone)]
+struct Seen {
+    version: Revision,
+    lease: Lease,
+    since: Instant,
+}
+
+/// One duty's lease, as one steward sees it.
+#[derive(Debug)]
+pub struct Duty {
+    me: CompactString,
+    seen: Option<Seen>,
+    listed: bool,
+    /// Fencing number while this steward holds the lease.
+    fencing: Option<Revision>,
+    renewed: Option<Instant>,
+    quiet_until: Option<Instant>,
+}
+
+impl Duty {
+    /// Creates the view of a steward that has read nothing yet.
+    #[must_use]
+    pub fn new(me: CompactString) -> Self {
+        Self {
+            me,
+            seen: None,
+            listed: false,
+            fencing: None,
+            renewed: None,
+            quiet_until: None,
+        }
+    }
+
+    /// Takes the lease as read, or that there is none.
+    pub fn read(&mut self, lease: Option<(Revision, Lease)>, now: Instant) {
+        self.listed = true;
+        let Some((version, lease)) = lease else {
+            self.seen = None;
+            self.fencing = None;
+            return;
+        };
+        if self
+            .seen
+            .as_ref()
+            .is_some_and(|seen| seen.version == version)
+        {
+            return;
+        }
+        let mine = lease.holder == self.me && !lease.released;
+        if !mine {
+            self.fencing = None;
+        } else if self.fencing.is_none() {
+            // A write of ours whose answer was lost.
+            self.fencing = Some(fencing_of(version, &lease));
+            self.quiet_until = Some(now + ORDER_LIMIT);
+        }
+        self.seen = Some(Seen {
+            version,
+            lease,
+            since: now,
+        });
+    }
+
+    /// Returns what to do next.
+    #[must_use]
+    pub fn next(&self, now: Instant) -> Move {
+        if !self.listed {
+            return Move::Wait;
+        }
+        let Some(seen) = &self.seen else {
+            return Move::Write(None, self.claim(0));
+        };
+        if let Some(fencing) = self.fencing {
+            let due = self.renewed.is_none_or(|at| now >= at + RENEW_EVERY);
+            return if due {
+                Move::Write(Some(seen.version), self.claim(fencing))
+            } else {
+                Move::Wait
+            };
+        }
+        let unchanged = now.saturating_duration_since(seen.since);
+        if seen.lease.released || unchanged >= TAKE_AFTER {
+            return Move::Write(Some(seen.version), self.claim(0));
+        }
+        Move::Wait
+    }
+
+    /// A write that began at `began` succeeded with this version.
+    pub fn written(&mut self, version: Revision, lease: Lease, began: Instant, now: Instant) {
+        if lease.released {
+            self.fencing = None;
+        } else if self.fencing.is_none() {
+            self.fencing = Some(fencing_of(version, &lease));
+            let predecessor = self.seen.as_ref().filter(|seen| !seen.lease.released);
+            // An order of the last holder may still be under way, and not
+            // every engine looks at the fencing number.
+            self.quiet_until = predecessor.map(|_| now + ORDER_LIMIT);
+        }
+        self.renewed = Some(began);
+        self.seen = Some(Seen {
+            version,
+            lease,
+            since: now,
+        });
+    }
+
+    /// Returns the fencing number if an order may be given now.
+    #[must_use]
+    pub fn may_order(&self, now: Instant) -> Option<Revision> {
+        let fencing = self.fencing?;
+        let held = self.renewed.is_some_and(|at| now < at + HOLD_FOR);
+        let quiet = self.quiet_until.is_some_and(|until| now < until);
+        (held && !quiet).then_some(fencing)
+    }
+
+    /// Returns the write that gives the lease up, if this steward holds it.
+    #[must_use]
+    pub fn release(&self) -> Option<(Revision, Lease)> {
+        let fencing = self.fencing?;
+        let seen = self.seen.as_ref()?;
+        let mut lease = self.claim(fencing);
+        lease.released = true;
+        Some((seen.version, lease))
+    }
+
+    /// Returns whether this steward believes it holds the lease.
+    #[must_use]
+    pub fn is_held(&self) -> bool {
+        self.fencing.is_some()
+    }
+
+    fn claim(&self, fencing: Revision) -> Lease {
+        Lease {
+            holder: self.me.clone(),
+            fencing,
+            released: false,
+        }
+    }
+}
+
+/// The write that took the lease could not know its own version.
+fn fencing_of(version: Revision, lease: &Lease) -> Revision {
+    if lease.fencing == 0 {
+        version
+    } else {
+        lease.fencing
+    }
+}
--- /dev/null
+++ b/crates/policy/src/fleet/commands.rs
@@ -0,0 +1,173 @@
+//! What happens to endpoints and attempts.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use slotmap::SlotMap;
+
+use briarhall_types::EndpointName;
+use briarhall_types::EndpointRecord;
+use briarhall_types::LoadReport;
+
+use super::Attempt;
+use super::AttemptKey;
+use super::Endpoint;
+use super::EndpointKey;
+use super::Fleet;
+use super::Policy;
+use super::Reported;
+use super::Want;
+use crate::rendezvous;
+
+/// Time for which an endpoint that failed gets no new work.
+const DOWN_FOR: Duration = Duration::from_secs(1);
+
+impl Fleet {
+    /// Creates an empty fleet whose load reports lag by `report_lag` at the
+    /// most.
+    #[must_use]
+    pub fn new(policy: Policy, report_lag: Duration) -> Self {
+        Self {
+            policy,
+            report_lag,
+            endpoints: SlotMap::with_key(),
+            attempts: SlotMap::with_key(),
+            by_name: HashMap::new(),
+            groups: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the platform's list. Endpoints that are not on it go.
+    pub fn list(&mut self, records: Vec<EndpointRecord>) {
+        let listed = records.iter().map(|r| r.name.clone());
+        let listed = listed.collect::<HashSet<EndpointName>>();
+        self.by_name.retain(|name, _| listed.contains(name));
+        self.endpoints
+            .retain(|_, endpoint| listed.contains(&endpoint.record.name));
+        for record in records {
+            self.put(record);
+        }
+        self.regroup();
+    }
+
+    fn put(&mut self, record: EndpointRecord) {
+        if let Some(key) = self.by_name.get(&record.name) {
+            let endpoint = &mut self.endpoints[*key];
+            if endpoint.record.address != record.address {
+                // Another process under the same name.
+                endpoint.leaving = false;
+                endpoint.reported = None;
+            }
+            endpoint.record = record;
+            return;
+        }
+        let name = record.name.clone();
+        let key = self.endpoints.insert(Endpoint {
+            record,
+            reported: None,
+            leaving: false,
+            down_until: None,
+            own_requests: 0,
+            recent: VecDeque::new(),
+        });
+        self.by_name.insert(name, key);
+    }
+
+    /// Endpoints of a group are ordered by a hash, alike at every router.
+    fn regroup(&mut self) {
+        for group in self.groups.values_mut() {
+            group.keys.clear();
+        }
+        for (key, endpoint) in &self.endpoints {
+            let serves = endpoint.record.serves.clone();
+            self.groups.entry(serves).or_default().keys.push(key);
+        }
+        self.groups.retain(|_, group| !group.keys.is_empty());
+        for (serves, group) in &mut self.groups {
+            let name = |key: &EndpointKey| &self.endpoints[*key].record.name;
+            group
+                .keys
+                .sort_by_key(|key| (rendezvous::weight(serves, name(key)), name(key).clone()));
+        }
+    }
+
+    /// Takes a load report that arrived `now`.
+    pub fn report(&mut self, name: &str, report: LoadReport, now: Instant) {
+        let Some(key) = self.by_name.get(name) else {
+            return;
+        };
+        let endpoint = &mut self.endpoints[*key];
+        endpoint.leaving = report.leaving;
+        endpoint.down_until = None;
+        let made = now.checked_sub(self.report_lag);
+        while let Some(oldest) = endpoint.recent.front() {
+            let attempt = self.attempts.get(*oldest);
+            if attempt.is_some_and(|attempt| made.is_none_or(|made| attempt.sent >= made)) {
+                break;
+            }
+            endpoint.recent.pop_front();
+        }
+        endpoint.reported = Some(Reported { report, at: now });
+    }
+
+    /// An attempt is about to be sent.
+    pub fn sent(&mut self, key: EndpointKey, want: &Want, now: Instant) -> AttemptKey {
+        if let Some(group) = self.groups.get_mut(&want.serves) {
+            group.cursor = group.cursor.wrapping_add(1);
+        }
+        let attempt = self.attempts.insert(Attempt {
+            endpoint: key,
+            tokens: want.tokens,
+            max_tokens: want.max_tokens,
+            sent: now,
+            first_token: false,
+        });
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.own_requests += 1;
+            endpoint.recent.push_back(attempt);
+        }
+        attempt
+    }
+
+    /// Notes a request for the border between the lanes.
+    pub fn arrived(&mut self, want: &Want, now: Instant) {
+        if let Some(group) = self.groups.get_mut(&want.serves) {
+            group.lanes.note(want.tokens, want.max_tokens, now);
+        }
+    }
+
+    /// The first token of an attempt came.
+    pub fn first_token(&mut self, key: AttemptKey) {
+        if let Some(attempt) = self.attempts.get_mut(key) {
+            attempt.first_token = true;
+        }
+    }
+
+    /// An attempt has ended.
+    pub fn ended(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.remove(key) else {
+            return;
+        };
+        if let Some(endpoint) = self.endpoints.get_mut(attempt.endpoint) {
+            endpoint.own_requests = endpoint.own_requests.saturating_sub(1);
+        }
+    }
+
+    /// An endpoint could not be reached or broke off.
+    pub fn failed(&mut self, key: EndpointKey, now: Instant) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.down_until = Some(now + DOWN_FOR);
+        }
+    }
+
+    /// An endpoint said that it takes no new work.
+    pub fn said_leaving(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.leaving = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/fleet/queries.rs
@@ -0,0 +1,307 @@
+//! The choice of an endpoint.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand::RngExt;
+use thiserror::Error;
+
+use briarhall_types::EndpointKind;
+use briarhall_types::EndpointRecord;
+use briarhall_types::EndpointState;
+use briarhall_types::Objective;
+
+use super::Endpoint;
+use super::EndpointKey;
+use super::Fleet;
+use super::Group;
+use super::Load;
+use super::Policy;
+use super::Want;
+use super::lanes::is_long;
+use crate::gang::Room;
+
+/// Endpoints looked at in the request's own lane.
+const OWN_LANE_CANDIDATES: usize = 5;
+/// Endpoints looked at in the other lane.
+const OTHER_LANE_CANDIDATES: usize = 2;
+/// Part of an engine's memory that long prompts leave to short ones.
+const SHORT_RESERVE: f64 = 0.15;
+/// What waiting for memory costs, in tokens of prefill.
+const MEMORY_WAIT_TOKENS: u64 = 60_000;
+/// Prefill rate taken for an engine that does not tell, in tokens a second.
+const DEFAULT_PREFILL_RATE: u64 = 10_000;
+
+/// An endpoint chosen.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// The endpoint.
+    pub key: EndpointKey,
+    /// As the platform lists it.
+    pub record: EndpointRecord,
+    /// Predicted time to the first token.
+    pub first_token: Duration,
+}
+
+/// Why there is no endpoint to choose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum NoEndpoint {
+    /// Nothing runs this model or service.
+    #[error("nothing runs it")]
+    Unknown,
+    /// Everything that runs it is down, leaving or excluded.
+    #[error("everything that runs it is down or leaving")]
+    AllDown,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Scored {
+    key: EndpointKey,
+    /// Lower is better, in tokens of prefill or in requests.
+    score: u64,
+    /// Prompt tokens to prefill before and with the request.
+    work: u64,
+}
+
+impl Fleet {
+    /// Chooses an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    pub fn choose<R>(&self, want: &Want, rng: &mut R, now: Instant) -> Result<Choice, NoEndpoint>
+    where
+        R: Rng,
+    {
+        let group = self.groups.get(&want.serves).ok_or(NoEndpoint::Unknown)?;
+        let best = match self.policy {
+            Policy::RoundRobin => self.next_in_turn(group, want, now),
+            Policy::LeastRequests => self.best(&group.keys, want, now, |_, load| load.requests),
+            Policy::LeastTokens => self.best(&group.keys, want, now, |_, load| load.queued),
+            Policy::Lanes => self.by_lane(group, want, rng, now),
+        };
+        let best = best.ok_or(NoEndpoint::AllDown)?;
+        let record = self.endpoints[best.key].record.clone();
+        let first_token = prefill_time(&record, best.work);
+        Ok(Choice {
+            key: best.key,
+            record,
+            first_token,
+        })
+    }
+
+    /// Returns what each engine of a model could give to a gang.
+    #[must_use]
+    pub fn rooms(&self, want: &Want, now: Instant) -> Vec<Room> {
+        let Some(group) = self.groups.get(&want.serves) else {
+            return Vec::new();
+        };
+        let usable = group
+            .keys
+            .iter()
+            .filter(|key| self.is_usable(**key, want, now));
+        usable
+            .map(|key| {
+                let endpoint = &self.endpoints[*key];
+                let load = self.load(endpoint);
+                Room {
+                    key: *key,
+                    name: endpoint.record.name.clone(),
+                    capacity: endpoint.record.kv_tokens,
+                    used: load.kv_used,
+                    reserved: load.kv_reserved,
+                }
+            })
+            .collect()
+    }
+
+    /// Returns the largest prompt, in tokens, that one engine of a model can
+    /// hold, or nothing when none runs it.
+    #[must_use]
+    pub fn largest_single(&self, serves: &str) -> Option<u64> {
+        let keys = &self.groups.get(serves)?.keys;
+        keys.iter()
+            .map(|key| self.endpoints[*key].record.kv_tokens)
+            .max()
+    }
+
+    /// Returns an endpoint as the platform lists it.
+    #[must_use]
+    pub fn record(&self, key: EndpointKey) -> Option<&EndpointRecord> {
+        self.endpoints.get(key).map(|endpoint| &endpoint.record)
+    }
+
+    /// Returns every endpoint as the platform lists it.
+    pub fn records(&self) -> impl Iterator<Item = (EndpointKey, &EndpointRecord)> {
+        self.endpoints
+            .iter()
+            .map(|(key, endpoint)| (key, &endpoint.record))
+    }
+
+    /// Returns the engines.
+    pub fn engines(&self) -> impl Iterator<Item = &EndpointRecord> {
+        let records = self.endpoints.values().map(|endpoint| &endpoint.record);
+        records.filter(|record| record.kind == EndpointKind::Engine)
+    }
+
+    /// Returns how many endpoints of a group are in the long lane, and in all.
+    #[must_use]
+    pub fn lane_sizes(&self, serves: &str) -> Option<(usize, usize)> {
+        let group = self.groups.get(serves)?;
+        let all = group.keys.len();
+        Some((group.lanes.long_endpoints(all), all))
+    }
+
+    fn is_usable(&self, key: EndpointKey, want: &Want, now: Instant) -> bool {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return false;
+        };
+        endpoint.record.state == EndpointState::Live
+            && !endpoint.leaving
+            && endpoint.down_until.is_none_or(|until| now >= until)
+            && !want.exclude.contains(&key)
+    }
+
+    fn next_in_turn(&self, group: &Group, want: &Want, now: Instant) -> Option<Scored> {
+        let all = group.keys.len();
+        let turn = (0..all).map(|i| group.keys[(group.cursor + i) % all]);
+        let key = turn
+            .into_iter()
+            .find(|key| self.is_usable(*key, want, now))?;
+        let load = self.load(&self.endpoints[key]);
+        Some(Scored {
+            key,
+            score: 0,
+            work: load.ahead_of(want.tokens) + want.tokens,
+        })
+    }
+
+    fn best<'a, I, F>(&self, keys: I, want: &Want, now: Instant, score: F) -> Option<Scored>
+    where
+        I: IntoIterator<Item = &'a EndpointKey>,
+        F: Fn(&Endpoint, &Load) -> u64,
+    {
+        let usable = keys
+            .into_iter()
+            .filter(|key| self.is_usable(**key, want, now));
+        let scored = usable.map(|key| {
+            let endpoint = &self.endpoints[*key];
+            let load = self.load(endpoint);
+            Scored {
+                key: *key,
+                score: score(endpoint, &load),
+                work: load.ahead_of(want.tokens) + want.tokens,
+            }
+        });
+        scored.min_by_key(|scored| scored.score)
+    }
+
+    fn by_lane<R>(&self, group: &Group, want: &Want, rng: &mut R, now: Instant) -> Option<Scored>
+    where
+        R: Rng,
+    {
+        let long = is_long(want.tokens);
+        let border = group.lanes.long_endpoints(group.keys.len());
+        let (long_lane, short_lane) = group.keys.split_at(border);
+        let (own, other) = if long {
+            (long_lane, short_lane)
+        } else {
+            (short_lane, long_lane)
+        };
+        let in_own = self.best_of(own, OWN_LANE_CANDIDATES, want, rng, now, 0);
+        let toll = lending_toll(want, long);
+        let in_other = self.best_of(other, OTHER_LANE_CANDIDATES, want, rng, now, toll);
+        let best = match (in_own, in_other) {
+            (Some(a), Some(b)) if b.score < a.score => Some(b),
+            (Some(a), _) => Some(a),
+            (None, b) => b,
+        };
+        // The sample may have met only endpoints that are down.
+        best.or_else(|| self.best(&group.keys, want, now, |e, load| score(e, load, want)))
+    }
+
+    fn best_of<R>(
+        &self,
+        lane: &[EndpointKey],
+        candidates: usize,
+        want: &Want,
+        rng: &mut R,
+        now: Instant,
+        toll: u64,
+    ) -> Option<Scored>
+    where
+        R: Rng,
+    {
+        if lane.is_empty() {
+            return None;
+        }
+        let start = rng.random_range(0..lane.len());
+        let stride = rng.random_range(1..=lane.len());
+        // Different strides give different neighbours, so that two routers
+        // rarely look at the same set.
+        let stride = if gcd(stride, lane.len()) == 1 {
+            stride
+        } else {
+            1
+        };
+        let sample =
+            (0..candidates.min(lane.len())).map(|i| &lane[(start + i * stride) % lane.len()]);
+        self.best(sample, want, now, |e, load| score(e, load, want) + toll)
+    }
+}
+
+fn gcd(a: usize, b: usize) -> usize {
+    if b == 0 { a } else { gcd(b, a % b) }
+}
+
+/// What using the other lane costs, in tokens of prefill. Where short requests
+/// weigh more, a long prompt goes there only when that saves it twice its own
+/// length.
+fn lending_toll(want: &Want, long: bool) -> u64 {
+    match (long, want.objective) {
+        (false, _) => 0,
+        (true, Objective::FirstToken) => want.tokens / 4,
+        (true, Objective::ShortSlowdown) => want.tokens * 2,
+    }
+}
+
+/// Tokens of prefill before the first token, with a charge for memory that is
+/// not free.
+fn score(endpoint: &Endpoint, load: &Load, want: &Want) -> u64 {
+    if endpoint.record.kind == EndpointKind::Service {
+        return load.requests;
+    }
+    let needed = load.kv_used + want.tokens + want.max_tokens;
+    let usable = usable_memory(endpoint.record.kv_tokens, is_long(want.tokens));
+    let over = needed.saturating_sub(usable);
+    let memory_wait = if over > 0 {
+        MEMORY_WAIT_TOKENS + over
+    } else {
+        0
+    };
+    load.ahead_of(want.tokens) + want.tokens + memory_wait
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "a part of a token count far below 2^52"
+)]
+fn usable_memory(kv_tokens: u64, long: bool) -> u64 {
+    if long {
+        (kv_tokens as f64 * (1.0 - SHORT_RESERVE)) as u64
+    } else {
+        kv_tokens
+    }
+}
+
+fn prefill_time(record: &EndpointRecord, tokens: u64) -> Duration {
+    let rate = if record.prefill_rate == 0 {
+        DEFAULT_PREFILL_RATE
+    } else {
+        record.prefill_rate
+    };
+    Duration::from_millis(tokens.saturating_mul(1_000) / rate)
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,19 @@
+//! Decisions of the serving layer as plain state machines.
+//!
+//! A method takes the time and a typed event and returns typed results. There
+//! are no sockets, threads, clocks or random sources in here, so that fuzzing
+//! can drive every interleaving and benchmarks can run at the size of the aim.
+//! In the larger modules, commands (which change state) and queries (which read
+//! it) stand in files of their own.
+
+pub mod book;
+pub mod claims;
+pub mod duty;
+pub mod fleet;
+pub mod gang;
+pub mod limits;
+pub mod members;
+pub mod rendezvous;
+pub mod retry;
+pub mod sharer;
+pub mod suspects;
--- /dev/null
+++ b/crates/policy/src/suspects.rs
@@ -0,0 +1,150 @@
+//! Requests that may crash whatever engine runs them.
+//!
+//! When an engine dies, everything that ran on it is suspect. A suspect runs
+//! next on probation: alone among suspects on its engine, under a lock that the
+//! engine itself keeps. If an engine dies with a request on probation there,
+//! that request is convicted and whatever else ran there is cleared. A
+//! convicted request is refused at every router, so one request costs the fleet
+//! two engines: the first, and the one of its probation.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use briarhall_types::Digest;
+
+/// How long a verdict is remembered.
+pub const REMEMBER_FOR: Duration = Duration::from_mins(10);
+
+/// Digest of a request's customer, model and prompt.
+pub type Fingerprint = Digest;
+
+/// How far a request is under suspicion. Later ones are graver.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Suspicion {
+    /// It ran on an engine that died.
+    Suspect,
+    /// It was on probation on an engine that died.
+    Convicted,
+}
+
+/// A verdict as routers tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The verdict.
+    pub suspicion: Suspicion,
+    /// Milliseconds since it was given.
+    pub age_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Record {
+    suspicion: Suspicion,
+    at: Instant,
+}
+
+/// A request that ran on an engine when it died.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Witness {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Whether it was on probation there.
+    pub on_probation: bool,
+}
+
+/// The suspects that one router knows of.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    records: HashMap<Fingerprint, Record>,
+}
+
+impl Suspects {
+    /// Takes the death of an engine with everything this router ran on it, and
+    /// returns what the other routers should know.
+    pub fn engine_died(&mut self, ran: &[Witness], now: Instant) -> Vec<Notice> {
+        let on_probation = ran.iter().filter(|witness| witness.on_probation);
+        let convicted = on_probation.map(|w| w.fingerprint).collect::<Vec<_>>();
+        let found = if convicted.is_empty() {
+            let all = ran.iter().map(|witness| witness.fingerprint);
+            all.map(|f| (f, Suspicion::Suspect)).collect()
+        } else {
+            let convicted = convicted.into_iter();
+            convicted
+                .map(|f| (f, Suspicion::Convicted))
+                .collect::<Vec<_>>()
+        };
+        for (fingerprint, suspicion) in &found {
+            self.note(*fingerprint, *suspicion, now);
+        }
+        let notices = found.into_iter().map(|(fingerprint, suspicion)| Notice {
+            fingerprint,
+            suspicion,
+            age_ms: 0,
+        });
+        notices.collect()
+    }
+
+    /// A request ran to its end, so it crashes nothing.
+    pub fn cleared(&mut self, fingerprint: &Fingerprint) {
+        if self.suspicion(fingerprint) == Some(Suspicion::Suspect) {
+            self.records.remove(fingerprint);
+        }
+    }
+
+    /// Takes what another router told.
+    pub fn told(&mut self, notice: &Notice, now: Instant) {
+        let age = Duration::from_millis(notice.age_ms);
+        if let Some(at) = now.checked_sub(age)
+            && age < REMEMBER_FOR
+        {
+            self.note(notice.fingerprint, notice.suspicion, at);
+        }
+    }
+
+    /// Forgets what is too old.
+    pub fn forget(&mut self, now: Instant) {
+        self.records
+            .retain(|_, r| now.saturating_duration_since(r.at) < REMEMBER_FOR);
+    }
+
+    /// Returns whether a request is under suspicion.
+    #[must_use]
+    pub fn suspicion(&self, fingerprint: &Fingerprint) -> Option<Suspicion> {
+        self.records.get(fingerprint).map(|record| record.suspicion)
+    }
+
+    /// Returns all convictions, for routers that missed the notice.
+    #[must_use]
+    pub fn convictions(&self, now: Instant) -> Vec<Notice> {
+        let convicted = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.suspicion == Suspicion::Convicted);
+        convicted
+            .map(|(fingerprint, record)| Notice {
+                fingerprint: *fingerprint,
+                suspicion: record.suspicion,
+                age_ms: millis(now.saturating_duration_since(record.at)),
+            })
+            .collect()
+    }
+
+    fn note(&mut self, fingerprint: Fingerprint, suspicion: Suspicion, at: Instant) {
+        let record = Record { suspicion, at };
+        let held = self.records.entry(fingerprint).or_insert(record);
+        if suspicion >= held.suspicion {
+            held.suspicion = suspicion;
+            held.at = held.at.max(at);
+        }
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/router/src/control/claims.rs
@@ -0,0 +1,129 @@
+//! Claims on idempotency keys, through the chains in the object API.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use briarhall_policy::claims::Chain;
+use briarhall_policy::claims::Claim;
+use briarhall_policy::claims::Decided;
+use briarhall_policy::claims::SegmentNumber;
+use briarhall_policy::claims::Step;
+use briarhall_policy::claims::range_of;
+use briarhall_policy::claims::window_start;
+use briarhall_policy::rendezvous;
+use briarhall_types::Digest;
+
+use super::ChainEvent;
+use super::ClaimAnswer;
+use super::Control;
+use super::Kick;
+use super::Reply;
+
+/// How long claims are remembered beyond the longest window of a contract.
+const WINDOW_MARGIN: Duration = Duration::from_mins(1);
+
+/// Somebody who waits for a claim to be decided.
+#[derive(Debug)]
+pub(super) struct ClaimWaiter {
+    until: Instant,
+    reply: Reply<ClaimAnswer>,
+}
+
+impl Control {
+    pub(super) fn claim(&mut self, claim: Claim, until: Instant, reply: Reply<ClaimAnswer>) {
+        let range = range_of(&claim.key);
+        let chain = self.chains.entry(range).or_default();
+        let id = claim.id;
+        if let Some(verdict) = chain.submit(claim) {
+            reply.send(ClaimAnswer::Decided(verdict));
+            return;
+        }
+        self.claim_waiters.insert(id, ClaimWaiter { until, reply });
+        if self.driven.insert(range) {
+            self.kick(Kick::Chain(range));
+        }
+    }
+
+    /// Returns where a claim on the key is best written, nothing when here.
+    pub(super) fn claim_writer(&self, key: &Digest, now: Instant) -> Option<SocketAddr> {
+        let serving = self.members.serving(now).map(|h| &h.router);
+        let writer = rendezvous::pick(&range_of(key), serving)?;
+        if *writer == self.me.name {
+            return None;
+        }
+        self.members.heartbeat(writer).map(|h| h.mesh_address)
+    }
+
+    pub(super) fn chain_step(&mut self, range: u64, now: Instant) -> Step {
+        let chain = self.chains.get_mut(&range);
+        let step = chain.map_or(Step::Idle, |chain| chain.step(now, now_ms()));
+        if step == Step::Idle {
+            self.driven.remove(&range);
+        }
+        step
+    }
+
+    pub(super) fn chain_event(&mut self, range: u64, event: ChainEvent, now: Instant) {
+        let Some(chain) = self.chains.get_mut(&range) else {
+            return;
+        };
+        let decided = match event {
+            ChainEvent::Loaded(segments) => chain.loaded(segments),
+            ChainEvent::Written => chain.written(now),
+            ChainEvent::Read(segment) => chain.read(&segment),
+            ChainEvent::Refused => no_decision(chain, Chain::refused),
+            ChainEvent::Unsure => no_decision(chain, Chain::unsure),
+            ChainEvent::NotWritten => no_decision(chain, Chain::not_written),
+            ChainEvent::Absent => no_decision(chain, Chain::absent),
+        };
+        for decision in decided {
+            if let Some(waiter) = self.claim_waiters.remove(&decision.id) {
+                waiter.reply.send(ClaimAnswer::Decided(decision.verdict));
+            }
+        }
+    }
+
+    /// Gives up claims whose time is over. Their holders never send them.
+    pub(super) fn expire_claims(&mut self, now: Instant) {
+        let waiters = &self.claim_waiters;
+        let expired = |id: &_| waiters.get(id).is_none_or(|waiter| now >= waiter.until);
+        let mut given_up = Vec::new();
+        for chain in self.chains.values_mut() {
+            given_up.extend(chain.give_up(expired));
+        }
+        for id in given_up {
+            if let Some(waiter) = self.claim_waiters.remove(&id) {
+                waiter.reply.send(ClaimAnswer::Undecided);
+            }
+        }
+    }
+
+    /// Forgets claims older than the longest window of any contract.
+    pub(super) fn trim_chains(&mut self) -> Vec<(u64, SegmentNumber)> {
+        let windows = self.book.records();
+        let windows = windows.map(|(_, _, record)| record.contract.idempotency_window);
+        let window = windows.max().unwrap_or_default() + WINDOW_MARGIN;
+        let start = window_start(now_ms(), window);
+        let mut old = Vec::new();
+        for (range, chain) in &mut self.chains {
+            let numbers = chain.forget_before(start);
+            old.extend(numbers.into_iter().map(|number| (*range, number)));
+        }
+        old
+    }
+}
+
+fn no_decision<F>(chain: &mut Chain, event: F) -> Vec<Decided>
+where
+    F: FnOnce(&mut Chain),
+{
+    event(chain);
+    Vec::new()
+}
+
+fn now_ms() -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/router/src/control/gossip.rs
@@ -0,0 +1,89 @@
+//! Heartbeats and news between routers.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use rand::seq::SliceRandom;
+
+use briarhall_mesh::PullReply;
+use briarhall_mesh::PullRequest;
+use briarhall_policy::members::Heartbeat;
+
+use super::Control;
+use super::messages::PullPlan;
+
+/// Routers asked in each round.
+const PULLS_PER_ROUND: usize = 3;
+
+impl Control {
+    pub(super) fn heartbeat(&mut self, now: Instant) {
+        self.beat += 1;
+        let heartbeat = Heartbeat {
+            router: self.me.name.clone(),
+            counter: self.beat,
+            held: self.book.held(),
+            newest: self.book.newest(),
+            caller_address: self.me.caller_address,
+            mesh_address: self.me.mesh_address,
+            zone: self.me.zone.clone(),
+            draining: self.draining,
+        };
+        self.members.beat(heartbeat, now);
+    }
+
+    pub(super) fn pull_plan(&mut self, now: Instant) -> PullPlan {
+        self.heartbeat(now);
+        let mut addresses = self.known_addresses(now);
+        addresses.shuffle(&mut self.rng);
+        addresses.truncate(PULLS_PER_ROUND);
+        let heartbeat = self.members.heartbeat(&self.me.name);
+        let heartbeat = heartbeat.expect("a router's own heartbeat was just made");
+        PullPlan {
+            addresses,
+            req: PullRequest {
+                heartbeat: heartbeat.clone(),
+                held: self.book.held(),
+            },
+        }
+    }
+
+    /// Live routers and the roster's members; the seeds as long as nobody else
+    /// is known.
+    fn known_addresses(&self, now: Instant) -> Vec<SocketAddr> {
+        let live = self.members.live(now).map(|h| h.mesh_address);
+        let roster = self.book.roster();
+        let members = roster.members.iter().map(|member| member.mesh_address);
+        let mut known = live.chain(members).collect::<BTreeSet<_>>();
+        known.remove(&self.me.mesh_address);
+        if known.is_empty() {
+            known.extend(&self.settings.mesh_seeds);
+            known.remove(&self.me.mesh_address);
+        }
+        known.into_iter().collect()
+    }
+
+    pub(super) fn pulled(&mut self, reply: PullReply, asked: Instant, now: Instant) {
+        if let Some(update) = reply.update {
+            self.take_update(update, now);
+        }
+        self.members.pulled(reply.answer, asked, now);
+        for notice in &reply.convictions {
+            self.suspects.told(notice, now);
+        }
+        self.check_acceptance(now);
+    }
+
+    pub(super) fn answer_pull(&mut self, req: PullRequest, now: Instant) -> PullReply {
+        let lacks = req.held < self.book.held() && req.heartbeat.newest < self.book.newest();
+        let update = lacks.then(|| self.book.update_since(req.held));
+        self.members.pushed(req.heartbeat, now);
+        self.heartbeat(now);
+        PullReply {
+            answer: self.members.answer(now),
+            update,
+            convictions: self.suspects.convictions(now),
+            loads: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/messages.rs
@@ -0,0 +1,345 @@
+//! Messages to the control thread.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Sender;
+use compact_str::CompactString;
+
+use briarhall_mesh::HeldResult;
+use briarhall_mesh::PullReply;
+use briarhall_mesh::PullRequest;
+use briarhall_mesh::ShareReply;
+use briarhall_mesh::ShareRequest;
+use briarhall_policy::book::Update;
+use briarhall_policy::claims::Claim;
+use briarhall_policy::claims::ClaimId;
+use briarhall_policy::claims::Segment;
+use briarhall_policy::claims::SegmentNumber;
+use briarhall_policy::claims::Step;
+use briarhall_policy::claims::Verdict;
+use briarhall_policy::fleet::AttemptKey;
+use briarhall_policy::fleet::EndpointKey;
+use briarhall_policy::fleet::Want;
+use briarhall_policy::gang::NoGang;
+use briarhall_policy::members::Roster;
+use briarhall_policy::suspects::Fingerprint;
+use briarhall_policy::suspects::Notice;
+use briarhall_types::Contract;
+use briarhall_types::CustomerName;
+use briarhall_types::Digest;
+use briarhall_types::EndpointName;
+use briarhall_types::EndpointRecord;
+use briarhall_types::LoadReport;
+use briarhall_types::Objective;
+use briarhall_types::Problem;
+use briarhall_types::Revision;
+use briarhall_types::RouterName;
+use briarhall_types::ZoneName;
+
+use super::Status;
+use super::TicketKey;
+
+/// Where an answer goes.
+#[derive(Debug)]
+pub struct Reply<T> {
+    tx: Sender<T>,
+}
+
+impl<T> Reply<T> {
+    pub(super) fn new(tx: Sender<T>) -> Self {
+        Self { tx }
+    }
+
+    /// Answers. Whoever asked may have gone, which is no concern of ours.
+    pub fn send(self, answer: T) {
+        let _gone = self.tx.try_send(answer);
+    }
+}
+
+/// What a request calls.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallName {
+    /// A model.
+    Model(CompactString),
+    /// A plain service.
+    Service(CompactString),
+}
+
+/// Asks to admit a request.
+#[derive(Debug)]
+pub struct AdmitCall {
+    /// Digest of the caller's key.
+    pub key: Digest,
+    /// What it calls.
+    pub call: CallName,
+    /// Prompt tokens; zero for a service.
+    pub tokens: u64,
+    /// Digest of the request's content.
+    pub content: Digest,
+}
+
+/// An admitted request.
+#[derive(Debug, Clone)]
+pub struct Admitted {
+    /// Must be given back when the request ends.
+    pub ticket: TicketKey,
+    /// The customer.
+    pub customer: CustomerName,
+    /// Time within which the request must end.
+    pub time_limit: Duration,
+    /// Whether its contract lets it run again.
+    pub repeatable: bool,
+    /// Which measure weighs more.
+    pub objective: Objective,
+    /// Identifies the request among those that crash engines.
+    pub fingerprint: Fingerprint,
+}
+
+/// Asks for an endpoint.
+#[derive(Debug, Clone)]
+pub struct RouteCall {
+    /// What it asks of the endpoint.
+    pub want: Want,
+    /// Identifies the request.
+    pub fingerprint: Fingerprint,
+    /// Whether something of it may have run already.
+    pub is_retry: bool,
+    /// Time left until its deadline.
+    pub time_left: Duration,
+}
+
+/// An endpoint to send to.
+#[derive(Debug, Clone)]
+pub struct Routed {
+    /// Must be given back when the attempt ends.
+    pub attempt: AttemptKey,
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// As the platform lists it.
+    pub record: EndpointRecord,
+    /// Whether it must run alone among suspects.
+    pub on_probation: bool,
+    /// Priority at the engine, lower first.
+    pub priority: i64,
+}
+
+/// Why there is no endpoint.
+#[derive(Debug, Clone)]
+pub enum NoRoute {
+    /// The request is refused for good.
+    Refused(Problem),
+    /// None can be used now; one may come back.
+    NotNow(Duration),
+}
+
+/// Engines that hold a prompt together.
+#[derive(Debug, Clone)]
+pub struct GangPlan {
+    /// The parts, in the order in which they are reserved.
+    pub parts: Vec<GangPart>,
+    /// Priority at the engines, lower first.
+    pub priority: i64,
+}
+
+/// One engine's part.
+#[derive(Debug, Clone)]
+pub struct GangPart {
+    /// Must be given back when the attempt ends.
+    pub attempt: AttemptKey,
+    /// Where the engine listens.
+    pub address: SocketAddr,
+    /// Tokens of the prompt.
+    pub tokens: u64,
+}
+
+/// How an attempt ended, as far as routing goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// It ran to its end.
+    Done,
+    /// It was given up by the caller or at its deadline.
+    GivenUp,
+    /// The endpoint refused it for want of room.
+    Full,
+    /// The endpoint said that it leaves.
+    Leaving,
+    /// The endpoint could not be reached, or broke off and lives.
+    Failed,
+    /// The endpoint's process has ended.
+    Died,
+}
+
+/// What became of a claim.
+#[derive(Debug, Clone)]
+pub enum ClaimAnswer {
+    /// The chain decided.
+    Decided(Verdict),
+    /// It could not be decided in time.
+    Undecided,
+}
+
+/// What the platform said to a chain's step.
+#[derive(Debug)]
+pub enum ChainEvent {
+    /// The whole chain.
+    Loaded(Vec<(SegmentNumber, Segment)>),
+    /// The segment was created.
+    Written,
+    /// The number is taken.
+    Refused,
+    /// The write had no effect.
+    NotWritten,
+    /// The write may have had an effect, or a read failed.
+    Unsure,
+    /// The segment with the next number.
+    Read(Segment),
+    /// There is no segment with the next number.
+    Absent,
+}
+
+/// What to pull, and from whom.
+#[derive(Debug, Clone)]
+pub struct PullPlan {
+    /// Whom to ask.
+    pub addresses: Vec<SocketAddr>,
+    /// The question.
+    pub req: PullRequest,
+}
+
+/// A change of the roster to write.
+#[derive(Debug, Clone)]
+pub struct RosterPlan {
+    /// Version to replace, zero for none.
+    pub version: Revision,
+    /// What to write.
+    pub roster: Roster,
+}
+
+/// What a router that hears nobody asks the platform.
+#[derive(Debug, Clone)]
+pub struct ConfirmPlan {
+    /// This router's name.
+    pub router: RouterName,
+}
+
+/// Demands to report to one sharer.
+#[derive(Debug, Clone)]
+pub struct SharePlan {
+    /// The sharer, nothing when it is this router.
+    pub address: Option<SocketAddr>,
+    /// The report.
+    pub req: ShareRequest,
+}
+
+/// An address for callers.
+#[derive(Debug, Clone)]
+pub struct AddressEntry {
+    /// The address.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+}
+
+/// A revision that somebody waits to be accepted.
+#[derive(Debug)]
+pub struct AppliedWait {
+    /// The revision.
+    pub revision: Revision,
+    /// Answered when it is accepted.
+    pub reply: Reply<()>,
+}
+
+/// Work that a task should look for at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kick {
+    /// A chain has claims to write.
+    Chain(u64),
+    /// There are notices to send.
+    Notices,
+}
+
+/// A message to the control thread.
+#[derive(Debug)]
+pub enum Msg {
+    /// Admit a request.
+    Admit(AdmitCall, Reply<Result<Admitted, Problem>>),
+    /// A request has ended.
+    RequestEnded(TicketKey),
+    /// Choose an endpoint.
+    Route(RouteCall, Reply<Result<Routed, NoRoute>>),
+    /// Choose engines for a prompt larger than one.
+    Gang(RouteCall, Reply<Result<GangPlan, NoGang>>),
+    /// Largest prompt that one engine of a model can hold.
+    LargestSingle(CompactString, Reply<Option<u64>>),
+    /// An attempt's first token came.
+    FirstToken(AttemptKey),
+    /// An attempt has ended.
+    AttemptEnded(AttemptKey, AttemptEnd),
+    /// Take what another router told of suspects.
+    Told(Vec<Notice>),
+    /// Addresses of live routers, and notices to send them.
+    TakeNotices(Reply<(Vec<SocketAddr>, Vec<Notice>)>),
+    /// Write a claim of this router or another, until the time given.
+    Claim(Claim, Instant, Reply<ClaimAnswer>),
+    /// Where to send a claim: the preferred writer of its chain.
+    ClaimWriter(Digest, Reply<Option<SocketAddr>>),
+    /// Next step of a chain.
+    ChainStep(u64, Reply<Step>),
+    /// What came of it.
+    ChainEvent(u64, ChainEvent),
+    /// Segments that may be deleted, by range.
+    ChainTrim(Reply<Vec<(u64, SegmentNumber)>>),
+    /// A claimed request begins to run here.
+    ClaimRuns(ClaimId),
+    /// A claimed request has ended here.
+    ClaimEnded(ClaimId, HeldResult),
+    /// What became of a claimed request held here; answered when it has ended.
+    ClaimResult(ClaimId, Reply<Option<HeldResult>>),
+    /// Address of a router.
+    MeshAddress(RouterName, Reply<Option<SocketAddr>>),
+    /// Take configuration; says whether it was taken.
+    Update(Box<Update>),
+    /// The platform confirmed everything written before the time given.
+    Confirmed(Box<Update>, Instant),
+    /// A key's customer, if it proves a contract.
+    Customer(Digest, Reply<Option<CustomerName>>),
+    /// A contract in force.
+    Contract(CustomerName, Reply<Option<(Revision, Arc<Contract>)>>),
+    /// Answer when a revision is accepted.
+    WaitAccepted(AppliedWait),
+    /// What to pull.
+    PullPlan(Reply<PullPlan>),
+    /// An answer to a pull asked at the time given.
+    Pulled(Box<PullReply>, Instant),
+    /// Another router pulls.
+    Pull(Box<PullRequest>, Reply<PullReply>),
+    /// Whether the platform must be asked for confirmation.
+    ConfirmPlan(Reply<Option<ConfirmPlan>>),
+    /// Whether the roster must change.
+    RosterPlan(Reply<Option<RosterPlan>>),
+    /// The platform's list of VMs.
+    Listed(Vec<EndpointRecord>),
+    /// Engines whose load to read.
+    Engines(Reply<Vec<(EndpointName, SocketAddr)>>),
+    /// A load report.
+    Load(EndpointName, LoadReport),
+    /// Demands to report.
+    SharePlans(Reply<Vec<SharePlan>>),
+    /// A router reports demand to this sharer.
+    Share(ShareRequest, Reply<ShareReply>),
+    /// Grants that were asked for at the time given.
+    Granted(ShareReply, Instant),
+    /// Addresses for a caller of a customer.
+    Addresses(CustomerName, Reply<Vec<AddressEntry>>),
+    /// Everything an operator wants to see.
+    Status(Reply<Status>),
+    /// Stop admitting new callers.
+    Drain,
+    /// Requests in flight.
+    InFlight(Reply<usize>),
+    /// Do what time asks for.
+    Tick,
+}
--- /dev/null
+++ b/crates/router/src/control/results.rs
@@ -0,0 +1,59 @@
+//! What became of claimed requests held by this router.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use briarhall_mesh::HeldResult;
+use briarhall_policy::claims::ClaimId;
+
+use super::Reply;
+
+/// Results kept.
+const MAX_RESULTS: usize = 20_000;
+
+#[derive(Debug)]
+enum State {
+    Running(Vec<Reply<Option<HeldResult>>>),
+    Ended(HeldResult),
+}
+
+/// Results by claim, the oldest forgotten first.
+#[derive(Debug, Default)]
+pub struct Results {
+    states: HashMap<ClaimId, State>,
+    ended: VecDeque<ClaimId>,
+}
+
+impl Results {
+    /// A claimed request begins to run.
+    pub fn runs(&mut self, claim: ClaimId) {
+        self.states
+            .entry(claim)
+            .or_insert_with(|| State::Running(Vec::new()));
+    }
+
+    /// A claimed request has ended.
+    pub fn ended(&mut self, claim: ClaimId, result: HeldResult) {
+        let before = self.states.insert(claim, State::Ended(result.clone()));
+        if let Some(State::Running(waiters)) = before {
+            for waiter in waiters {
+                waiter.send(Some(result.clone()));
+            }
+        }
+        self.ended.push_back(claim);
+        if self.ended.len() > MAX_RESULTS
+            && let Some(oldest) = self.ended.pop_front()
+        {
+            self.states.remove(&oldest);
+        }
+    }
+
+    /// Answers with the result, at once or when the request has ended.
+    pub fn wait(&mut self, claim: &ClaimId, reply: Reply<Option<HeldResult>>) {
+        match self.states.get_mut(claim) {
+            None => reply.send(None),
+            Some(State::Ended(result)) => reply.send(Some(result.clone())),
+            Some(State::Running(waiters)) => waiters.push(reply),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/shares.rs
@@ -0,0 +1,172 @@
+//! This router's shares of contract limits.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use briarhall_mesh::ShareReply;
+use briarhall_mesh::ShareRequest;
+use briarhall_policy::limits::Usage;
+use briarhall_policy::rendezvous;
+use briarhall_policy::sharer::CallKey;
+use briarhall_policy::sharer::Demand;
+use briarhall_policy::sharer::GRANT_LIFE;
+use briarhall_policy::sharer::floor_share;
+use briarhall_types::CallLimits;
+
+use super::Control;
+use super::messages::SharePlan;
+
+/// Time over which arrivals are averaged.
+const AVERAGE_OVER: Duration = Duration::from_secs(1);
+/// A call that has been quiet for this long is no longer reported.
+const QUIET_FOR: Duration = Duration::from_secs(5);
+
+/// Use of one kind of call, with the grant it rests on.
+#[derive(Debug)]
+pub(super) struct CallUse {
+    pub(super) usage: Usage,
+    arrivals: f64,
+    averaged: Instant,
+    last_arrival: Instant,
+    grant: u64,
+    granted_until: Option<Instant>,
+}
+
+impl CallUse {
+    pub(super) fn arrived(&mut self, now: Instant) {
+        self.average(now);
+        self.arrivals += 1.0 / AVERAGE_OVER.as_secs_f64();
+        self.last_arrival = now;
+    }
+
+    fn average(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.averaged).as_secs_f64();
+        self.arrivals *= (-elapsed / AVERAGE_OVER.as_secs_f64()).exp();
+        self.averaged = now;
+    }
+
+    fn is_quiet(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_arrival) >= QUIET_FOR && self.usage.in_flight() == 0
+    }
+}
+
+impl Control {
+    /// Returns the use of a call, brought to the limits and share in force.
+    pub(super) fn call_use(
+        &mut self,
+        key: &CallKey,
+        limits: &CallLimits,
+        now: Instant,
+    ) -> &mut CallUse {
+        let floor = floor_share(limits, self.sharing_routers());
+        let call = self.uses.entry(key.clone()).or_insert_with(|| CallUse {
+            usage: Usage::new(*limits, floor, now),
+            arrivals: 0.0,
+            averaged: now,
+            last_arrival: now,
+            grant: 0,
+            granted_until: None,
+        });
+        let lapsed = call.granted_until.is_none_or(|until| now >= until);
+        if lapsed && (call.usage.share() != floor || call.usage.limits() != limits) {
+            call.usage.set(*limits, floor, now);
+        } else if call.usage.limits() != limits {
+            let share = call.usage.share();
+            call.usage.set(*limits, share, now);
+        }
+        call
+    }
+
+    fn sharing_routers(&self) -> usize {
+        self.book.roster().members.len().max(1)
+    }
+
+    /// Demands by sharer, quiet calls left out.
+    pub(super) fn share_plans(&mut self, now: Instant) -> Vec<SharePlan> {
+        self.uses.retain(|_, call| !call.is_quiet(now));
+        let mut by_sharer = BTreeMap::<Option<SocketAddr>, Vec<Demand>>::new();
+        let keys = self.uses.keys().cloned().collect::<Vec<_>>();
+        for key in keys {
+            let sharer = self.sharer_of(&key, now);
+            if let Some(call) = self.uses.get_mut(&key) {
+                call.average(now);
+                by_sharer.entry(sharer).or_default().push(Demand {
+                    key,
+                    arrivals: call.arrivals,
+                    holds: call.grant,
+                });
+            }
+        }
+        let plans = by_sharer.into_iter().map(|(address, demands)| SharePlan {
+            address,
+            req: ShareRequest {
+                router: self.me.name.clone(),
+                demands,
+            },
+        });
+        plans.collect()
+    }
+
+    /// Returns where a customer's sharer is, nothing when it is this router.
+    fn sharer_of(&self, key: &CallKey, now: Instant) -> Option<SocketAddr> {
+        let serving = self.members.serving(now).map(|h| &h.router);
+        let sharer = rendezvous::pick(&key.customer, serving)?;
+        if *sharer == self.me.name {
+            return None;
+        }
+        self.members.heartbeat(sharer).map(|h| h.mesh_address)
+    }
+
+    pub(super) fn share(&mut self, req: ShareRequest, now: Instant) -> ShareReply {
+        let routers = self.sharing_routers();
+        let mut grants = Vec::new();
+        for demand in &req.demands {
+            let Some(limits) = self.limits_of(&demand.key) else {
+                continue;
+            };
+            let grant = self
+                .sharer
+                .report(&req.router, demand, &limits, routers, now);
+            grants.push(grant);
+        }
+        ShareReply { grants }
+    }
+
+    pub(super) fn granted(&mut self, reply: ShareReply, asked: Instant, now: Instant) {
+        for grant in reply.grants {
+            let Some(call) = self.uses.get_mut(&grant.key) else {
+                continue;
+            };
+            let limits = *call.usage.limits();
+            call.usage.set(limits, grant.share, now);
+            call.grant = grant.number;
+            call.granted_until = Some(asked + GRANT_LIFE);
+        }
+    }
+
+    /// Brings limits up to the configuration just taken up.
+    pub(super) fn renew_limits(&mut self, now: Instant) {
+        let keys = self.uses.keys().cloned().collect::<Vec<_>>();
+        for key in keys {
+            match self.limits_of(&key) {
+                Some(limits) => {
+                    self.call_use(&key, &limits, now);
+                }
+                None => {
+                    self.uses.remove(&key);
+                }
+            }
+        }
+    }
+
+    fn limits_of(&self, key: &CallKey) -> Option<CallLimits> {
+        let contract = self.book.contract(&key.customer)?.contract;
+        if let Some(name) = key.call.strip_prefix("model/") {
+            return contract.model(name).map(|terms| terms.limits);
+        }
+        let name = key.call.strip_prefix("service/")?;
+        contract.service(name).map(|terms| terms.limits)
+    }
+}
--- /dev/null
+++ b/crates/router/src/error.rs
@@ -0,0 +1,49 @@
+//! Why a router could not start.
+
+use std::io;
+use std::net::SocketAddr;
+
+use thiserror::Error;
+
+use briarhall_net::LogError;
+use briarhall_net::MetricsError;
+use briarhall_net::SpawnThreadsError;
+use briarhall_settings::Findings;
+
+/// Says why a router could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// The command line is wrong.
+    #[error("briarhall-router: {0}")]
+    Usage(String),
+    /// The settings are wrong.
+    #[error("{0}")]
+    Settings(#[from] Findings),
+    /// Logging could not start.
+    #[error("briarhall-router: {0}")]
+    Log(#[from] LogError),
+    /// Metrics could not start.
+    #[error("briarhall-router: {0}")]
+    Metrics(#[from] MetricsError),
+    /// A thread could not be started.
+    #[error("briarhall-router: {0}")]
+    Threads(#[from] SpawnThreadsError),
+    /// An address could not be used.
+    #[error(
+        "briarhall-router: cannot listen on {address} (`{field}`): {source}; choose a free address"
+    )]
+    Bind {
+        /// Field of the settings.
+        field: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The control thread could not be started.
+    #[error("briarhall-router: cannot start the control thread: {0}")]
+    ControlThread(io::Error),
+    /// Signals could not be watched.
+    #[error("briarhall-router: cannot watch for signals: {0}")]
+    Signals(io::Error),
+}
--- /dev/null
+++ b/crates/router/src/identity.rs
@@ -0,0 +1,41 @@
+//! Who this router is.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+
+use briarhall_types::RouterName;
+use briarhall_types::ZoneName;
+use briarhall_types::new_id;
+
+/// Name and addresses of this router.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Name, unique for each incarnation.
+    pub name: RouterName,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Address told to callers.
+    pub caller_address: SocketAddr,
+    /// Address told to other routers.
+    pub mesh_address: SocketAddr,
+}
+
+impl Identity {
+    /// Creates the identity of a new incarnation.
+    #[must_use]
+    pub fn new(zone: ZoneName, caller_address: SocketAddr, mesh_address: SocketAddr) -> Self {
+        let id = new_id().simple().to_string();
+        Self {
+            name: unique_name(&zone, &id),
+            zone,
+            caller_address,
+            mesh_address,
+        }
+    }
+}
+
+fn unique_name(zone: &str, id: &str) -> CompactString {
+    format_compact!("{zone}/{id}")
+}
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,53 @@
+//! `briarhall-router`: takes callers' requests, admits, limits, routes and
+//! retries them, and streams the answers.
+//!
+//! One thread holds all control state and takes typed messages; the traffic
+//! threads carry bytes and ask it for decisions.
+
+mod args;
+mod control;
+mod error;
+mod identity;
+mod mesh;
+mod operator;
+mod peers;
+mod start;
+mod traffic;
+
+use std::process::ExitCode;
+
+use mimalloc::MiMalloc;
+
+use crate::args::Args;
+use crate::error::StartError;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_BAD_INPUT: u8 = 2;
+
+fn main() -> ExitCode {
+    let args = argh::from_env::<Args>();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            exit_code(&e)
+        }
+    }
+}
+
+fn run(args: &Args) -> Result<(), StartError> {
+    let Some(settings) = args.checked_settings()? else {
+        return Ok(());
+    };
+    start::run(settings)
+}
+
+fn exit_code(e: &StartError) -> ExitCode {
+    match e {
+        StartError::Settings(_) | StartError::Usage(_) => ExitCode::from(EXIT_BAD_INPUT),
+        _ => ExitCode::from(EXIT_FAILED),
+    }
+}
--- /dev/null
+++ b/crates/router/src/peers.rs
@@ -0,0 +1,69 @@
+//! Connections to other routers, opened when needed and dropped on any error.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use briarhall_mesh::MeshError;
+use briarhall_mesh::MeshPeer;
+use briarhall_net::Executor;
+use briarhall_types::Digest;
+
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+
+/// Connections to other routers.
+#[derive(Debug, Clone)]
+pub struct Peers {
+    secret: Digest,
+    executor: Executor,
+    open: Arc<Mutex<HashMap<SocketAddr, MeshPeer>>>,
+}
+
+impl Peers {
+    /// Creates an empty set.
+    #[must_use]
+    pub fn new(secret: Digest, executor: Executor) -> Self {
+        Self {
+            secret,
+            executor,
+            open: Arc::default(),
+        }
+    }
+
+    /// Makes a call to the router at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no answer came. The connection is dropped then:
+    /// it may have gone silent for good, and the next call opens another.
+    pub async fn call<T, F, C>(&self, address: SocketAddr, call: C) -> Result<T, MeshError>
+    where
+        C: FnOnce(MeshPeer) -> F,
+        F: Future<Output = Result<T, MeshError>>,
+    {
+        let peer = self.peer(address).await?;
+        let result = call(peer).await;
+        if result.is_err() {
+            self.open().remove(&address);
+        }
+        result
+    }
+
+    async fn peer(&self, address: SocketAddr) -> Result<MeshPeer, MeshError> {
+        let known = self.open().get(&address).cloned();
+        if let Some(peer) = known {
+            return Ok(peer);
+        }
+        let peer = MeshPeer::connect(address, &self.secret, &self.executor, CONNECT_LIMIT).await?;
+        self.open().insert(address, peer.clone());
+        Ok(peer)
+    }
+
+    fn open(&self) -> MutexGuard<'_, HashMap<SocketAddr, MeshPeer>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/router/src/traffic/completions.rs
@@ -0,0 +1,423 @@
+//! The way of a completion request: admit, claim if it must not run twice,
+//! attempt until it is answered, refused, or out of time.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use bytes::Bytes;
+use compact_str::CompactString;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use briarhall_endpoint::Lease;
+use briarhall_endpoint::Refused;
+use briarhall_endpoint::wire::CompletionCall;
+use briarhall_endpoint::wire::KvPart;
+use briarhall_net::Body;
+use briarhall_net::problem;
+use briarhall_policy::fleet::EndpointKey;
+use briarhall_policy::fleet::Want;
+use briarhall_types::Digest;
+use briarhall_types::Problem;
+use briarhall_types::RequestId;
+use briarhall_types::new_id;
+
+use super::Traffic;
+use super::attempt;
+use super::attempt::Attempt;
+use super::attempt::Ended;
+use super::deadline::Deadline;
+use super::once;
+use super::once::Once;
+use super::outlet::Outlet;
+use super::request;
+use super::request::Completion;
+use super::request::Form;
+use super::request::Repeating;
+use crate::control::AdmitCall;
+use crate::control::Admitted;
+use crate::control::AttemptEnd;
+use crate::control::CallName;
+use crate::control::Msg;
+use crate::control::NoRoute;
+use crate::control::RouteCall;
+use crate::control::Routed;
+
+/// How long a lease on an attempt outlasts its deadline. After the deadline
+/// the router cancels; the lease is for routers that cannot any more.
+const LEASE_MARGIN: Duration = Duration::from_secs(2);
+/// Time between two looks at engines that are down or full.
+const FULL_PAUSE: Duration = Duration::from_millis(50);
+/// When the caller of a request that ran out of time is told to come back.
+const DEADLINE_RETRY: Duration = Duration::from_secs(1);
+const LOCK_LIMIT: Duration = Duration::from_secs(1);
+
+/// A request under way.
+#[derive(Debug)]
+pub struct Job {
+    pub(super) req: Completion,
+    pub(super) admitted: Admitted,
+    pub(super) deadline: Deadline,
+    pub(super) exclude: Vec<EndpointKey>,
+    /// Whether some endpoint may have run some of it.
+    pub(super) may_have_run: bool,
+    pub(super) repeatable: bool,
+}
+
+/// Why a request is not answered, with what to tell its caller; nothing when
+/// the caller went away.
+pub type GivenUp = Option<Problem>;
+
+impl Traffic {
+    pub(super) async fn completion(&self, req: Request<Incoming>, form: Form) -> Response<Body> {
+        let arrived = Instant::now();
+        match self.begin(req, form, arrived).await {
+            Ok(reply) => reply,
+            Err(e) => problem(&e),
+        }
+    }
+
+    async fn begin(
+        &self,
+        req: Request<Incoming>,
+        form: Form,
+        arrived: Instant,
+    ) -> Result<Response<Body>, Problem> {
+        let key = request::key(req.headers())?;
+        let repeating = request::repeating(req.headers())?;
+        let body = request::body(req).await?;
+        let req = request::completion(form, &body)?;
+        let content = Digest::of_parts(&[req.model.as_bytes(), req.prompt.as_bytes()]);
+        let call = AdmitCall {
+            key,
+            call: CallName::Model(CompactString::from(req.model.as_str())),
+            tokens: req.tokens,
+            content,
+        };
+        let admitted = self.control.ask(|reply| Msg::Admit(call, reply)).await?;
+        let id = new_id();
+        let (outlet, head) = Outlet::new(id, &req);
+        let job = Job {
+            deadline: Deadline::after(arrived, admitted.time_limit),
+            exclude: Vec::new(),
+            may_have_run: false,
+            repeatable: admitted.repeatable && !repeating.forbidden,
+            req,
+            admitted,
+        };
+        // The request goes on by itself, so that a caller that hangs up is
+        // noticed and cleaned up after like every other way out.
+        let traffic = self.clone();
+        self.executor.detach(async move {
+            traffic
+                .finish_job(id, job, repeating, outlet, arrived)
+                .await
+        });
+        let gone = || Problem::unknown(500, "internal", "the request ended without an answer");
+        head.recv().await.map_err(|_closed| gone())
+    }
+
+    async fn finish_job(
+        &self,
+        id: RequestId,
+        job: Job,
+        repeating: Repeating,
+        outlet: Outlet,
+        arrived: Instant,
+    ) {
+        let ticket = job.admitted.ticket;
+        let customer = job.admitted.customer.clone();
+        let outcome = if job.repeatable {
+            self.answer(job, outlet).await
+        } else {
+            self.answer_once(job, repeating, outlet).await
+        };
+        self.control.tell(Msg::RequestEnded(ticket)).await;
+        self.metrics.count(outcome);
+        self.metrics.time("request", arrived.elapsed());
+        log::info!(request = id.to_string().as_str(), customer = customer.as_str(), outcome = outcome; "completion ended");
+    }
+
+    async fn answer(&self, mut job: Job, mut outlet: Outlet) -> &'static str {
+        match self.attempts(&mut job, &mut outlet).await {
+            Ok(()) => {
+                // A caller that went away at the very end has its answer.
+                let _gone = outlet.finish().await;
+                "answered"
+            }
+            Err(None) => "caller-gone",
+            Err(Some(failure)) => {
+                outlet.fail(&failure).await;
+                failure.outcome.as_str()
+            }
+        }
+    }
+
+    /// Claims the key first; whoever holds another claim's key gets that
+    /// claim's result, never a second run.
+    async fn answer_once(
+        &self,
+        mut job: Job,
+        repeating: Repeating,
+        outlet: Outlet,
+    ) -> &'static str {
+        let call = format!("model/{}", job.req.model);
+        let content = Digest::of(job.req.prompt.as_bytes());
+        let claimed = once::claim(
+            self,
+            &job.admitted.customer,
+            &call,
+            &repeating,
+            content,
+            job.deadline,
+        );
+        let claim = match claimed.await {
+            Once::Ours(claim) => claim,
+            Once::Refused(failure) => {
+                outlet.fail(&failure).await;
+                return failure.outcome.as_str();
+            }
+            Once::Theirs(result) => {
+                // A stream cannot be given again; its outcome can.
+                let failure = once::repeated(&result);
+                outlet.fail(&failure).await;
+                return failure.outcome.as_str();
+            }
+        };
+        job.repeatable = false;
+        let mut outlet = outlet;
+        let (outcome, result) = match self.attempts(&mut job, &mut outlet).await {
+            Ok(()) => {
+                let _gone = outlet.finish().await;
+                ("answered", once::answered())
+            }
+            Err(given_up) => {
+                let failure = given_up.unwrap_or_else(|| once::caller_gone(job.may_have_run));
+                outlet.fail(&failure).await;
+                (failure.outcome.as_str(), once::failed(&failure))
+            }
+        };
+        self.control.tell(Msg::ClaimEnded(claim, result)).await;
+        outcome
+    }
+
+    /// Attempts until the whole answer is given.
+    pub(super) async fn attempts(&self, job: &mut Job, outlet: &mut Outlet) -> Result<(), GivenUp> {
+        loop {
+            if job.deadline.has_passed() {
+                return Err(Some(job.out_of_time()));
+            }
+            let ended = if self.needs_gang(job).await {
+                self.gang_attempt(job, outlet).await?
+            } else {
+                self.single_attempt(job, outlet).await?
+            };
+            job.may_have_run |= ended.may_have_run();
+            match ended {
+                Ended::Whole => return Ok(()),
+                Ended::CallerGone => return Err(None),
+                Ended::Deadline => return Err(Some(job.out_of_time())),
+                Ended::Refused(Refused::Invalid) => return Err(Some(job.not_understood())),
+                Ended::Refused(_) | Ended::NotSent(_) => {}
+                Ended::Lost(_) if job.repeatable => {}
+                Ended::Lost(_) => return Err(Some(job.lost())),
+            }
+        }
+    }
+
+    async fn single_attempt(&self, job: &mut Job, outlet: &mut Outlet) -> Result<Ended, GivenUp> {
+        let routed = match self.routed(job).await {
+            Ok(routed) => routed,
+            Err(NoRoute::Refused(failure)) => return Err(Some(job.refused(failure))),
+            Err(NoRoute::NotNow(pause)) => {
+                self.pause(job, outlet, pause).await?;
+                return Ok(Ended::Refused(Refused::Full));
+            }
+        };
+        let lock = match self.lock_if_suspect(&routed).await {
+            Ok(lock) => lock,
+            Err(ended) => {
+                job.exclude.push(routed.endpoint);
+                self.attempt_ended(&routed, ended.for_routing()).await;
+                return Ok(ended);
+            }
+        };
+        let attempt = job.attempt(self, &routed, outlet.tokens(), None, Vec::new());
+        let ended =
+            attempt::run(&self.engines, &self.control, &attempt, outlet, job.deadline).await;
+        self.attempt_ended(&routed, ended.for_routing()).await;
+        if let Some(name) = lock {
+            self.unlock(&routed, &name).await;
+        }
+        match ended {
+            Ended::Refused(_) | Ended::NotSent(_) | Ended::Lost(_) => {
+                job.exclude.push(routed.endpoint);
+            }
+            _ => {}
+        }
+        Ok(ended)
+    }
+
+    async fn routed(&self, job: &mut Job) -> Result<Routed, NoRoute> {
+        let call = job.route_call();
+        let routed = self.control.ask(|reply| Msg::Route(call, reply)).await;
+        if let Err(NoRoute::NotNow(_)) = &routed {
+            // Everything that is left was tried: begin again.
+            job.exclude.clear();
+        }
+        routed
+    }
+
+    /// A suspect runs under a lock that the engine keeps, so that no two
+    /// suspects of any router meet on one engine.
+    async fn lock_if_suspect(&self, routed: &Routed) -> Result<Option<CompactString>, Ended> {
+        if !routed.on_probation {
+            return Ok(None);
+        }
+        let reservation = briarhall_endpoint::wire::ReserveCall {
+            name: CompactString::const_new("probation"),
+            tokens: 1,
+            owner: CompactString::from(new_id().to_string()),
+            lease_ms: u64::try_from(LOCK_LIMIT.as_millis()).unwrap_or(u64::MAX) * 30,
+        };
+        let locked = self
+            .engines
+            .reserve(routed.record.address, &reservation, LOCK_LIMIT)
+            .await;
+        match locked {
+            Ok(()) => Ok(Some(reservation.name)),
+            Err(_) => Err(Ended::Refused(Refused::Full)),
+        }
+    }
+
+    async fn unlock(&self, routed: &Routed, name: &str) {
+        let address = routed.record.address;
+        let released = self.engines.release(address, name, LOCK_LIMIT).await;
+        if let Err(e) = released {
+            log::debug!(error = e.to_string().as_str(); "cannot release a lock");
+        }
+    }
+
+    pub(super) async fn attempt_ended(&self, routed: &Routed, end: AttemptEnd) {
+        self.control
+            .tell(Msg::AttemptEnded(routed.attempt, end))
+            .await;
+    }
+
+    /// Waits before the next look, unless the caller goes away.
+    pub(super) async fn pause(
+        &self,
+        job: &Job,
+        outlet: &mut Outlet,
+        pause: Duration,
+    ) -> Result<(), GivenUp> {
+        let pause = job.deadline.left_up_to(pause.max(FULL_PAUSE));
+        let gone = async {
+            outlet.caller_gone().await;
+            true
+        };
+        let rested = async {
+            Timer::after(pause).await;
+            false
+        };
+        let gone = futures_lite::future::or(gone, rested).await;
+        if gone { Err(None) } else { Ok(()) }
+    }
+}
+
+impl Job {
+    pub(super) fn route_call(&self) -> RouteCall {
+        RouteCall {
+            want: Want {
+                serves: CompactString::from(self.req.model.as_str()),
+                tokens: self.req.tokens,
+                max_tokens: self.req.max_tokens,
+                objective: self.admitted.objective,
+                exclude: self.exclude.clone(),
+            },
+            fingerprint: self.admitted.fingerprint,
+            is_retry: self.may_have_run,
+            time_left: self.deadline.left(),
+        }
+    }
+
+    fn attempt(
+        &self,
+        traffic: &Traffic,
+        routed: &Routed,
+        from: u64,
+        reservation: Option<CompactString>,
+        kv_parts: Vec<KvPart>,
+    ) -> Attempt {
+        Attempt {
+            id: new_id(),
+            address: routed.record.address,
+            body: self.body(from, routed.priority, reservation, kv_parts),
+            key: routed.attempt,
+            lease: self.lease(traffic),
+        }
+    }
+
+    pub(super) fn body(
+        &self,
+        from: u64,
+        priority: i64,
+        reservation: Option<CompactString>,
+        kv_parts: Vec<KvPart>,
+    ) -> Bytes {
+        let call = CompletionCall {
+            model: CompactString::from(self.req.model.as_str()),
+            prompt: self.req.prompt.clone(),
+            max_tokens: self.req.max_tokens,
+            priority,
+            resume_from: from,
+            reservation,
+            kv_parts,
+        };
+        Bytes::from(serde_json::to_vec(&call).unwrap_or_default())
+    }
+
+    pub(super) fn lease(&self, traffic: &Traffic) -> Lease {
+        Lease {
+            owner: traffic.router.clone(),
+            life: self.deadline.left() + LEASE_MARGIN,
+        }
+    }
+
+    fn out_of_time(&self) -> Problem {
+        let detail = "the request's time limit has passed";
+        let failure = if self.may_have_run {
+            Problem::unknown(504, "deadline", detail)
+        } else {
+            Problem::not_run(503, "deadline", detail)
+        };
+        failure.retry_after(DEADLINE_RETRY)
+    }
+
+    fn lost(&self) -> Problem {
+        let detail = "the endpoint was lost; the request may have run and is not sent again";
+        Problem::unknown(502, "endpoint-lost", detail)
+    }
+
+    fn not_understood(&self) -> Problem {
+        Problem::not_run(
+            400,
+            "bad-request",
+            "the engine does not understand the request",
+        )
+    }
+
+    /// A refusal by routing is only `not-run` while nothing was sent.
+    fn refused(&self, failure: Problem) -> Problem {
+        if self.may_have_run {
+            Problem {
+                outcome: briarhall_types::Outcome::Unknown,
+                ..failure
+            }
+        } else {
+            failure
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/traffic/gang.rs
@@ -0,0 +1,264 @@
+//! A prompt held by several engines: reserve all or none, prefill the parts,
+//! generate on the first.
+
+use std::time::Duration;
+
+use async_channel::Sender;
+use compact_str::CompactString;
+use compact_str::format_compact;
+use futures::future::join_all;
+use futures_lite::future;
+
+use briarhall_endpoint::EngineClient;
+use briarhall_endpoint::EngineError;
+use briarhall_endpoint::Lease;
+use briarhall_endpoint::Ran;
+use briarhall_endpoint::Refused;
+use briarhall_endpoint::wire::KvPart;
+use briarhall_endpoint::wire::PrefillCall;
+use briarhall_endpoint::wire::ReserveCall;
+use briarhall_net::Executor;
+use briarhall_net::HttpError;
+use briarhall_policy::gang::NoGang;
+use briarhall_types::Problem;
+use briarhall_types::new_id;
+
+use super::Traffic;
+use super::attempt;
+use super::attempt::Attempt;
+use super::attempt::Ended;
+use super::completions::GivenUp;
+use super::completions::Job;
+use super::outlet::Outlet;
+use crate::control::AttemptEnd;
+use crate::control::GangPart;
+use crate::control::GangPlan;
+use crate::control::Msg;
+
+/// Life of a reservation unless renewed.
+const RESERVATION_LIFE: Duration = Duration::from_secs(5);
+const RENEW_EVERY: Duration = Duration::from_secs(1);
+const RESERVE_LIMIT: Duration = Duration::from_secs(1);
+const RELEASE_LIMIT: Duration = Duration::from_secs(2);
+const RELEASE_TRIES: u32 = 3;
+/// Time between two tries to reserve; spread so that two prompts that met once
+/// do not meet again.
+const RETRY_PAUSE_MS: std::ops::Range<u64> = 40..160;
+
+/// Reservations that are held. Dropping it releases all of them, whatever way
+/// the request ends.
+#[derive(Debug)]
+struct Held {
+    name: CompactString,
+    parts: Vec<GangPart>,
+    engines: EngineClient,
+    executor: Executor,
+    /// Closes when dropped, which ends the renewal.
+    _renewal: Option<Sender<()>>,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let engines = self.engines.clone();
+        let name = self.name.clone();
+        let parts = std::mem::take(&mut self.parts);
+        self.executor.detach(async move {
+            let releases = parts.iter().map(|part| release(&engines, part, &name));
+            join_all(releases).await;
+        });
+    }
+}
+
+async fn release(engines: &EngineClient, part: &GangPart, name: &str) {
+    for _ in 0..RELEASE_TRIES {
+        if engines
+            .release(part.address, name, RELEASE_LIMIT)
+            .await
+            .is_ok()
+        {
+            return;
+        }
+    }
+    // The lease runs out, and a steward frees it.
+    log::warn!(reservation = name, engine = part.address.to_string().as_str(); "cannot release a reservation");
+}
+
+impl Traffic {
+    /// Returns whether the prompt is larger than one engine can hold.
+    pub(super) async fn needs_gang(&self, job: &Job) -> bool {
+        let model = CompactString::from(job.req.model.as_str());
+        let largest = self
+            .control
+            .ask(|reply| Msg::LargestSingle(model, reply))
+            .await;
+        largest.is_some_and(|largest| job.req.tokens + job.req.max_tokens > largest)
+    }
+
+    pub(super) async fn gang_attempt(
+        &self,
+        job: &mut Job,
+        outlet: &mut Outlet,
+    ) -> Result<Ended, GivenUp> {
+        let call = job.route_call();
+        let plan = match self.control.ask(|reply| Msg::Gang(call, reply)).await {
+            Ok(plan) => plan,
+            Err(NoGang::TooLarge) => return Err(Some(too_large(job))),
+            Err(NoGang::NoRoom) => {
+                self.pause(job, outlet, retry_pause()).await?;
+                return Ok(Ended::Refused(Refused::Full));
+            }
+        };
+        let ended = self.run_gang(job, &plan, outlet).await;
+        for part in &plan.parts {
+            let end = ended.for_routing();
+            // Only the engine that failed is to blame; which one is not known.
+            let end = if end == AttemptEnd::Died {
+                AttemptEnd::GivenUp
+            } else {
+                end
+            };
+            self.control
+                .tell(Msg::AttemptEnded(part.attempt, end))
+                .await;
+        }
+        if ended == Ended::Refused(Refused::Full) {
+            self.pause(job, outlet, retry_pause()).await?;
+        }
+        Ok(ended)
+    }
+
+    async fn run_gang(&self, job: &Job, plan: &GangPlan, outlet: &mut Outlet) -> Ended {
+        let held = match self.reserve_all(job, plan).await {
+            Ok(held) => held,
+            Err(ended) => return ended,
+        };
+        let working = async {
+            if let Err(ended) = self.prefill_all(job, plan, &held).await {
+                return Some(ended);
+            }
+            None
+        };
+        let gone = async {
+            outlet.caller_gone().await;
+            Some(Ended::CallerGone)
+        };
+        if let Some(ended) = future::or(working, gone).await {
+            return ended;
+        }
+        let Some((lead, others)) = plan.parts.split_first() else {
+            return Ended::Refused(Refused::Full);
+        };
+        let kv_parts = others.iter().map(|part| KvPart {
+            address: part.address,
+            reservation: held.name.clone(),
+        });
+        let body = job.body(
+            outlet.tokens(),
+            plan.priority,
+            Some(held.name.clone()),
+            kv_parts.collect(),
+        );
+        let attempt = Attempt {
+            id: new_id(),
+            address: lead.address,
+            body,
+            key: lead.attempt,
+            lease: job.lease(self),
+        };
+        attempt::run(&self.engines, &self.control, &attempt, outlet, job.deadline).await
+    }
+
+    /// Takes the reservations in the order of the plan. On the first refusal
+    /// everything taken is let go.
+    async fn reserve_all(&self, job: &Job, plan: &GangPlan) -> Result<Held, Ended> {
+        let mut held = Held {
+            name: format_compact!("gang-{}", new_id()),
+            parts: Vec::new(),
+            engines: self.engines.clone(),
+            executor: self.executor.clone(),
+            _renewal: None,
+        };
+        for part in &plan.parts {
+            let call = ReserveCall {
+                name: held.name.clone(),
+                tokens: part.tokens,
+                owner: self.router.clone(),
+                lease_ms: u64::try_from(RESERVATION_LIFE.as_millis()).unwrap_or(u64::MAX),
+            };
+            let limit = job.deadline.left_up_to(RESERVE_LIMIT);
+            // Whether or not the answer comes, the reservation may be there.
+            held.parts.push(part.clone());
+            let reserved = self.engines.reserve(part.address, &call, limit).await;
+            reserved.map_err(|e| ended_by(&e))?;
+        }
+        held._renewal = Some(self.renew_while_open(&held));
+        Ok(held)
+    }
+
+    /// Renews until the sender it returns is dropped.
+    fn renew_while_open(&self, held: &Held) -> Sender<()> {
+        let (tx, rx) = async_channel::bounded::<()>(1);
+        let engines = self.engines.clone();
+        let parts = held.parts.clone();
+        let name = held.name.clone();
+        let lease = Lease {
+            owner: self.router.clone(),
+            life: RESERVATION_LIFE,
+        };
+        self.executor.detach(async move {
+            while briarhall_net::timeout(RENEW_EVERY, rx.recv())
+                .await
+                .is_err()
+            {
+                let renewals = parts.iter().map(|part| {
+                    engines.renew_reservation(part.address, &name, &lease, RESERVE_LIMIT)
+                });
+                join_all(renewals).await;
+            }
+        });
+        tx
+    }
+
+    async fn prefill_all(&self, job: &Job, plan: &GangPlan, held: &Held) -> Result<(), Ended> {
+        let mut left = job.req.tokens;
+        let mut calls = Vec::new();
+        // The first part also holds the answer, so prompts fill the others
+        // first.
+        for part in plan.parts.iter().rev() {
+            let tokens = part.tokens.min(left);
+            left -= tokens;
+            let call = PrefillCall {
+                tokens,
+                priority: plan.priority,
+            };
+            calls.push((part, call));
+        }
+        let limit = job.deadline.left();
+        let prefills = calls
+            .iter()
+            .map(|(part, call)| self.engines.prefill(part.address, &held.name, call, limit));
+        for result in join_all(prefills).await {
+            result.map_err(|e| ended_by(&e))?;
+        }
+        Ok(())
+    }
+}
+
+fn ended_by(e: &EngineError) -> Ended {
+    match e {
+        EngineError::Refused { kind, .. } => Ended::Refused(*kind),
+        EngineError::Http(HttpError::Connect { .. }) => Ended::NotSent(AttemptEnd::Failed),
+        EngineError::Http(_) if e.ran() == Ran::No => Ended::NotSent(AttemptEnd::Failed),
+        EngineError::Http(_) => Ended::Lost(AttemptEnd::Failed),
+    }
+}
+
+fn too_large(job: &Job) -> Problem {
+    let tokens = job.req.tokens;
+    let detail = format!("the prompt has about {tokens} tokens, more than all engines can hold");
+    Problem::not_run(413, "prompt-too-large", detail)
+}
+
+fn retry_pause() -> Duration {
+    Duration::from_millis(rand::random_range(RETRY_PAUSE_MS))
+}
--- /dev/null
+++ b/crates/router/src/traffic/once.rs
@@ -0,0 +1,283 @@
+//! Requests that must not run twice.
+//!
+//! The key is claimed before the first byte leaves. Only the holder of the
+//! claim sends, once; everyone else who has the key gets the holder's result,
+//! or learns that nothing is known of it.
+
+use std::time::Duration;
+
+use briarhall_mesh::ClaimReply;
+use briarhall_mesh::ClaimRequest;
+use briarhall_mesh::HeldResult;
+use briarhall_mesh::MeshPeer;
+use briarhall_mesh::ResultReply;
+use briarhall_mesh::ResultRequest;
+use briarhall_policy::claims::Claim;
+use briarhall_policy::claims::ClaimId;
+use briarhall_policy::claims::Claimed;
+use briarhall_policy::claims::Verdict;
+use briarhall_types::Digest;
+use briarhall_types::Outcome;
+use briarhall_types::Problem;
+use briarhall_types::RouterName;
+use briarhall_types::new_id;
+
+use super::Traffic;
+use super::deadline::Deadline;
+use super::request::Repeating;
+use super::request::bad_request;
+use crate::control::ClaimAnswer;
+use crate::control::Msg;
+
+/// Time for a claim to be decided.
+const CLAIM_LIMIT: Duration = Duration::from_secs(2);
+/// Time for another router to write a claim.
+const FORWARD_LIMIT: Duration = Duration::from_millis(400);
+/// When a request that could not be claimed is told to come back.
+const UNDECIDED_RETRY: Duration = Duration::from_secs(2);
+/// Longest wait for another router's result in one call.
+const RESULT_LIMIT: Duration = Duration::from_secs(5);
+const RESULT_CALL_MARGIN: Duration = Duration::from_millis(500);
+
+/// What became of a claim.
+#[derive(Debug)]
+pub enum Once {
+    /// It stands; the request may be sent, once.
+    Ours(ClaimId),
+    /// Another claim's request ended like this.
+    Theirs(HeldResult),
+    /// The request is not run here.
+    Refused(Problem),
+}
+
+enum Decision {
+    Granted,
+    Taken(Taken),
+    Undecided,
+}
+
+struct Taken {
+    id: ClaimId,
+    holder: RouterName,
+    same_request: bool,
+}
+
+/// Claims the key of a request.
+pub async fn claim(
+    traffic: &Traffic,
+    customer: &str,
+    call: &str,
+    repeating: &Repeating,
+    request: Digest,
+    deadline: Deadline,
+) -> Once {
+    let Some(key) = &repeating.idempotency_key else {
+        let detail = "a request that must not run twice needs an `Idempotency-Key`";
+        return Once::Refused(bad_request(detail));
+    };
+    let parts = [customer.as_bytes(), call.as_bytes(), key.as_bytes()];
+    let key = Digest::of_parts(&parts);
+    let mut instead_of = None;
+    loop {
+        let claim = Claim {
+            id: new_id(),
+            key,
+            request,
+            holder: traffic.router.clone(),
+            instead_of,
+        };
+        let id = claim.id;
+        traffic.control.tell(Msg::ClaimRuns(id)).await;
+        match decide(traffic, claim, deadline).await {
+            // The router may have been paused since: look at the time again
+            // before anything is sent.
+            Decision::Granted if deadline.has_passed() => {
+                let failure = Problem::not_run(503, "deadline", "the time limit has passed");
+                return abandon(traffic, id, failure).await;
+            }
+            Decision::Granted => return Once::Ours(id),
+            Decision::Undecided => {
+                let detail = "the platform cannot record the key now; nothing was sent";
+                let failure = Problem::not_run(503, "not-recorded", detail);
+                return abandon(traffic, id, failure.retry_after(UNDECIDED_RETRY)).await;
+            }
+            Decision::Taken(taken) if !taken.same_request => {
+                let detail = "the `Idempotency-Key` was used for another request; choose a new one";
+                return abandon(traffic, id, Problem::not_run(422, "key-reused", detail)).await;
+            }
+            Decision::Taken(taken) => {
+                let ended = result(traffic, &taken, deadline).await;
+                forget(traffic, id).await;
+                match ended {
+                    Some(result) if result.outcome == Outcome::NotRun => {
+                        instead_of = Some(taken.id);
+                    }
+                    Some(result) => return Once::Theirs(result),
+                    None => return Once::Refused(nothing_known()),
+                }
+            }
+        }
+    }
+}
+
+/// This router promises never to send under this claim, even if it should
+/// still come to stand.
+async fn abandon(traffic: &Traffic, claim: ClaimId, failure: Problem) -> Once {
+    forget(traffic, claim).await;
+    Once::Refused(failure)
+}
+
+async fn forget(traffic: &Traffic, claim: ClaimId) {
+    let not_run = Problem::not_run(503, "not-sent", "the request was not sent");
+    let ended = Msg::ClaimEnded(claim, failed(&not_run));
+    traffic.control.tell(ended).await;
+}
+
+async fn decide(traffic: &Traffic, claim: Claim, deadline: Deadline) -> Decision {
+    let key = claim.key;
+    let writer = traffic
+        .control
+        .ask(|reply| Msg::ClaimWriter(key, reply))
+        .await;
+    if let Some(address) = writer {
+        let req = ClaimRequest {
+            claim: claim.clone(),
+            limit_ms: u64::try_from(FORWARD_LIMIT.as_millis()).unwrap_or(u64::MAX),
+        };
+        let call = |peer: MeshPeer| async move { peer.claim(req, FORWARD_LIMIT).await };
+        match traffic.peers.call(address, call).await {
+            Ok(ClaimReply::Granted) => return Decision::Granted,
+            Ok(ClaimReply::Taken {
+                id,
+                holder,
+                same_request,
+            }) => {
+                return Decision::Taken(Taken {
+                    id,
+                    holder,
+                    same_request,
+                });
+            }
+            // Written or not, the same claim can be written again: by its id
+            // the chain knows it.
+            Ok(ClaimReply::Undecided) | Err(_) => {}
+        }
+    }
+    decide_here(traffic, claim, deadline).await
+}
+
+async fn decide_here(traffic: &Traffic, claim: Claim, deadline: Deadline) -> Decision {
+    let until = std::time::Instant::now() + deadline.left_up_to(CLAIM_LIMIT);
+    let request = claim.request;
+    let answer = traffic
+        .control
+        .ask(|reply| Msg::Claim(claim, until, reply))
+        .await;
+    match answer {
+        ClaimAnswer::Decided(Verdict::Granted) => Decision::Granted,
+        ClaimAnswer::Decided(Verdict::Taken(claimed)) => Decision::Taken(taken(claimed, request)),
+        ClaimAnswer::Decided(Verdict::Void) | ClaimAnswer::Undecided => Decision::Undecided,
+    }
+}
+
+fn taken(claimed: Claimed, request: Digest) -> Taken {
+    Taken {
+        id: claimed.id,
+        holder: claimed.holder,
+        same_request: claimed.request == request,
+    }
+}
+
+/// Asks the holder of a claim how its request ended, until the deadline.
+async fn result(traffic: &Traffic, taken: &Taken, deadline: Deadline) -> Option<HeldResult> {
+    while !deadline.has_passed() {
+        let wait = deadline.left_up_to(RESULT_LIMIT);
+        let reply = if taken.holder == traffic.router {
+            own_result(traffic, taken.id, wait).await
+        } else {
+            their_result(traffic, taken, wait).await
+        };
+        match reply {
+            ResultReply::Ended(result) => return Some(result),
+            ResultReply::Running => {}
+            ResultReply::Unknown => return None,
+        }
+    }
+    None
+}
+
+/// Waits for the result of a claim that this router holds.
+pub async fn own_result(traffic: &Traffic, claim: ClaimId, wait: Duration) -> ResultReply {
+    let ask = traffic.control.ask(|reply| Msg::ClaimResult(claim, reply));
+    match briarhall_net::timeout(wait, ask).await {
+        Ok(Some(result)) => ResultReply::Ended(result),
+        Ok(None) => ResultReply::Unknown,
+        Err(_elapsed) => ResultReply::Running,
+    }
+}
+
+async fn their_result(traffic: &Traffic, taken: &Taken, wait: Duration) -> ResultReply {
+    let holder = taken.holder.clone();
+    let address = traffic
+        .control
+        .ask(|reply| Msg::MeshAddress(holder, reply))
+        .await;
+    let Some(address) = address else {
+        return ResultReply::Unknown;
+    };
+    let req = ResultRequest {
+        claim: taken.id,
+        wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+    };
+    let limit = wait + RESULT_CALL_MARGIN;
+    let call = |peer: MeshPeer| async move { peer.result(req, limit).await };
+    let reply = traffic.peers.call(address, call).await;
+    reply.unwrap_or(ResultReply::Unknown)
+}
+
+/// The result of a request whose answer was given.
+pub fn answered() -> HeldResult {
+    HeldResult {
+        outcome: Outcome::Answered,
+        status: 200,
+        content_type: None,
+        body: None,
+    }
+}
+
+/// The result of a request that failed.
+pub fn failed(failure: &Problem) -> HeldResult {
+    HeldResult {
+        outcome: failure.outcome,
+        status: failure.status,
+        content_type: Some(Problem::MEDIA_TYPE.to_owned()),
+        body: serde_json::to_string(failure).ok(),
+    }
+}
+
+/// What became of a request whose caller went away.
+pub fn caller_gone(may_have_run: bool) -> Problem {
+    let detail = "the caller went away";
+    if may_have_run {
+        Problem::unknown(499, "caller-gone", detail)
+    } else {
+        Problem::not_run(499, "caller-gone", detail)
+    }
+}
+
+/// What to tell the caller of a key whose request has run, when its answer
+/// cannot be given again.
+pub fn repeated(result: &HeldResult) -> Problem {
+    match result.outcome {
+        Outcome::Answered => {
+            let detail = "the request with this `Idempotency-Key` was answered before";
+            Problem::unknown(409, "answered-before", detail)
+        }
+        Outcome::NotRun | Outcome::Unknown => nothing_known(),
+    }
+}
+
+fn nothing_known() -> Problem {
+    let detail = "a request with this `Idempotency-Key` was accepted before and may have run";
+    Problem::unknown(409, "may-have-run", detail)
+}
--- /dev/null
+++ b/crates/router/src/traffic/request.rs
@@ -0,0 +1,199 @@
+//! Callers' requests, read and checked.
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use serde::Deserialize;
+
+use briarhall_net::BodyTooLarge;
+use briarhall_net::read_limited;
+use briarhall_types::Digest;
+use briarhall_types::Problem;
+use briarhall_types::estimate_tokens;
+
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+const DEFAULT_MAX_TOKENS: u64 = 16;
+const MAX_MAX_TOKENS: u64 = 32_768;
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
+
+/// Header by which a caller says that a request must not run twice.
+pub const REPEATABLE_HEADER: &str = "briarhall-repeatable";
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+
+/// Form of a completion request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Form {
+    /// A prompt.
+    Prompt,
+    /// Messages of a chat.
+    Chat,
+}
+
+/// What the headers say about repeating a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Repeating {
+    /// Key that names the request.
+    pub idempotency_key: Option<String>,
+    /// Whether the caller forbids running it twice.
+    pub forbidden: bool,
+}
+
+/// A completion request, checked.
+#[derive(Debug, Clone)]
+pub struct Completion {
+    /// Form it came in.
+    pub form: Form,
+    /// Model.
+    pub model: String,
+    /// Prompt.
+    pub prompt: String,
+    /// Tokens of the prompt, estimated.
+    pub tokens: u64,
+    /// Tokens to generate.
+    pub max_tokens: u64,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct PromptBody {
+    model: String,
+    prompt: String,
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatBody {
+    model: String,
+    messages: Vec<ChatMessage>,
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatMessage {
+    role: String,
+    content: String,
+}
+
+/// Returns the digest of the caller's key.
+///
+/// # Errors
+///
+/// Returns a problem when there is none.
+pub fn key(headers: &HeaderMap) -> Result<Digest, Problem> {
+    let value = headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok());
+    let key = value.and_then(|v| v.strip_prefix("Bearer "));
+    let missing = || {
+        let detail = "send the contract's key as `Authorization: Bearer KEY`";
+        Problem::not_run(401, "key-missing", detail)
+    };
+    Ok(Digest::of(key.ok_or_else(missing)?.as_bytes()))
+}
+
+/// Reads what the headers say about repeating.
+///
+/// # Errors
+///
+/// Returns a problem when a header is not understood.
+pub fn repeating(headers: &HeaderMap) -> Result<Repeating, Problem> {
+    let text = |name: &str| headers.get(name).map(|v| v.to_str().unwrap_or_default());
+    let forbidden = match text(REPEATABLE_HEADER) {
+        None | Some("yes") => false,
+        Some("no") => true,
+        Some(_) => {
+            let detail = "`Briarhall-Repeatable` must be `yes` or `no`";
+            return Err(bad_request(detail));
+        }
+    };
+    let idempotency_key = match text(IDEMPOTENCY_HEADER) {
+        None => None,
+        Some(key) if key.is_empty() || key.len() > MAX_IDEMPOTENCY_KEY_BYTES => {
+            let detail = "`Idempotency-Key` must have 1 to 255 visible characters";
+            return Err(bad_request(detail));
+        }
+        Some(key) => Some(key.to_owned()),
+    };
+    Ok(Repeating {
+        idempotency_key,
+        forbidden,
+    })
+}
+
+/// Reads a body.
+///
+/// # Errors
+///
+/// Returns a problem when it is too long or cut short.
+pub async fn body(req: Request<Incoming>) -> Result<Bytes, Problem> {
+    read_limited(req.into_body(), MAX_BODY_BYTES)
+        .await
+        .map_err(|e| match e {
+            BodyTooLarge::TooLarge { limit } => {
+                let detail = format!("the body is longer than {limit} bytes; send a shorter one");
+                Problem::not_run(413, "body-too-large", detail)
+            }
+            BodyTooLarge::Cut(reason) => bad_request(format!("the body was cut short: {reason}")),
+        })
+}
+
+/// Parses a completion request.
+///
+/// # Errors
+///
+/// Returns a problem that names what is wrong.
+pub fn completion(form: Form, body: &[u8]) -> Result<Completion, Problem> {
+    let (model, prompt, max_tokens, stream) = match form {
+        Form::Prompt => {
+            let body = serde_json::from_slice::<PromptBody>(body).map_err(not_json)?;
+            (body.model, body.prompt, body.max_tokens, body.stream)
+        }
+        Form::Chat => {
+            let body = serde_json::from_slice::<ChatBody>(body).map_err(not_json)?;
+            let prompt = joined(&body.messages);
+            (body.model, prompt, body.max_tokens, body.stream)
+        }
+    };
+    if prompt.is_empty() {
+        return Err(bad_request("the prompt is empty"));
+    }
+    let max_tokens = max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+    if max_tokens == 0 || max_tokens > MAX_MAX_TOKENS {
+        return Err(bad_request(format!(
+            "`max_tokens` is {max_tokens}; choose 1 to {MAX_MAX_TOKENS}"
+        )));
+    }
+    Ok(Completion {
+        form,
+        model,
+        tokens: estimate_tokens(prompt.len()),
+        prompt,
+        max_tokens,
+        stream,
+    })
+}
+
+/// A problem for a request that is not understood.
+pub fn bad_request(detail: impl Into<String>) -> Problem {
+    Problem::not_run(400, "bad-request", detail)
+}
+
+fn not_json(e: serde_json::Error) -> Problem {
+    bad_request(format!("the body is not the expected JSON: {e}"))
+}
+
+fn joined(messages: &[ChatMessage]) -> String {
+    let mut prompt = String::new();
+    for message in messages {
+        prompt.push_str(&message.role);
+        prompt.push_str(": ");
+        prompt.push_str(&message.content);
+        prompt.push('\n');
+    }
+    prompt
+}
--- /dev/null
+++ b/crates/settings/src/router.rs
@@ -0,0 +1,221 @@
+//! Settings of a router.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use briarhall_policy::fleet::Policy;
+use briarhall_types::Digest;
+use briarhall_types::ZoneName;
+use briarhall_types::parse_duration;
+
+use crate::Document;
+use crate::Fields;
+use crate::Findings;
+
+const DEFAULT_TRAFFIC_THREADS: usize = 2;
+const MAX_TRAFFIC_THREADS: usize = 64;
+const DEFAULT_ADDRESS_TTL: Duration = Duration::from_secs(5);
+const DEFAULT_REPORT_LAG: Duration = Duration::from_millis(300);
+const DEFAULT_PLATFORM_LIMIT: Duration = Duration::from_secs(1);
+const DEFAULT_LOG: &str = "info";
+const MIN_SECRET_BYTES: usize = 16;
+
+/// An operator and the digest of their key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OperatorKey {
+    /// Name for the audit trail.
+    pub name: CompactString,
+    /// Digest of the key.
+    pub digest: Digest,
+}
+
+/// Settings of a router, checked.
+#[derive(Debug, Clone)]
+pub struct RouterSettings {
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators connect.
+    pub operators: SocketAddr,
+    /// Where other routers connect.
+    pub mesh: SocketAddr,
+    /// Address told to callers, if not `callers`.
+    pub advertise_callers: Option<SocketAddr>,
+    /// Address told to other routers, if not `mesh`.
+    pub advertise_mesh: Option<SocketAddr>,
+    /// The platform's object API.
+    pub platform: SocketAddr,
+    /// Time limit of one call to the platform.
+    pub platform_limit: Duration,
+    /// Routers to ask when the platform is down at the start.
+    pub mesh_seeds: Vec<SocketAddr>,
+    /// Secret that routers prove to each other.
+    pub mesh_secret: Digest,
+    /// Who may change contracts.
+    pub operator_keys: Vec<OperatorKey>,
+    /// Threads for traffic.
+    pub traffic_threads: usize,
+    /// How long callers may keep an answer about addresses.
+    pub address_ttl: Duration,
+    /// Longest lag of load reports.
+    pub report_lag: Duration,
+    /// How endpoints are chosen.
+    pub policy: Policy,
+    /// Log levels.
+    pub log: String,
+    /// Where metrics go.
+    pub metrics_address: Option<SocketAddr>,
+}
+
+/// Reads a router's settings and checks them whole.
+///
+/// # Errors
+///
+/// Returns everything wrong with the file.
+pub fn read_router_settings(path: &Path) -> Result<RouterSettings, Findings> {
+    let document = Document::read(path)?;
+    let mut fields = Fields::new(&document);
+    let settings = take(&mut fields);
+    fields.unknown_fields();
+    fields.finish()?;
+    Ok(settings.expect("a document without findings is complete"))
+}
+
+fn take(fields: &mut Fields<'_>) -> Option<RouterSettings> {
+    let zone = fields.required("zone");
+    let callers = fields.required("callers");
+    let operators = fields.required("operators");
+    let mesh = fields.required("mesh");
+    let advertise_callers = fields.optional("advertise_callers");
+    let advertise_mesh = fields.optional("advertise_mesh");
+    let platform = fields.required("platform");
+    let platform_limit = duration(fields, "platform_limit", DEFAULT_PLATFORM_LIMIT);
+    let mesh_seeds = fields.optional("mesh_seeds").unwrap_or_default();
+    let mesh_secret = secret(fields, "mesh_secret_file");
+    let operator_keys = operator_keys(fields);
+    let traffic_threads = traffic_threads(fields);
+    let address_ttl = duration(fields, "address_ttl", DEFAULT_ADDRESS_TTL);
+    let report_lag = duration(fields, "report_lag", DEFAULT_REPORT_LAG);
+    let policy = fields.optional("policy").unwrap_or_default();
+    let log = fields.optional("log");
+    let metrics_address = fields.optional("metrics_address");
+    distinct(
+        fields,
+        &[
+            ("callers", callers),
+            ("operators", operators),
+            ("mesh", mesh),
+        ],
+    );
+    Some(RouterSettings {
+        zone: zone?,
+        callers: callers?,
+        operators: operators?,
+        mesh: mesh?,
+        advertise_callers,
+        advertise_mesh,
+        platform: platform?,
+        platform_limit,
+        mesh_seeds,
+        mesh_secret: mesh_secret?,
+        operator_keys,
+        traffic_threads,
+        address_ttl,
+        report_lag,
+        policy,
+        log: log.unwrap_or_else(|| DEFAULT_LOG.to_owned()),
+        metrics_address,
+    })
+}
+
+pub(crate) fn duration(fields: &mut Fields<'_>, name: &'static str, default: Duration) -> Duration {
+    let duration = fields.parsed(name, parse_duration).unwrap_or(default);
+    if duration.is_zero() {
+        fields.problem(name, "is zero; choose at least 1ms");
+    }
+    duration
+}
+
+/// The secret stays in a file of its own, so that settings can be shown.
+pub(crate) fn secret(fields: &mut Fields<'_>, name: &'static str) -> Option<Digest> {
+    let path = fields.required::<PathBuf>(name)?;
+    match fs::read_to_string(&path) {
+        Ok(text) if text.trim().len() >= MIN_SECRET_BYTES => {
+            Some(Digest::of(text.trim().as_bytes()))
+        }
+        Ok(_) => {
+            fields.problem(
+                name,
+                "names a file with a secret shorter than 16 characters; write a longer one",
+            );
+            None
+        }
+        Err(e) => {
+            let path = path.display();
+            fields.problem(
+                name,
+                &format!("names {path}, which cannot be read: {e}; check the path"),
+            );
+            None
+        }
+    }
+}
+
+fn operator_keys(fields: &mut Fields<'_>) -> Vec<OperatorKey> {
+    let mut keys = Vec::<OperatorKey>::new();
+    for mut entry in fields.list("operator_keys") {
+        let name = entry.required::<CompactString>("name");
+        let digest = entry.required("digest");
+        entry.unknown_fields();
+        let (Some(name), Some(digest)) = (name, digest) else {
+            continue;
+        };
+        if keys
+            .iter()
+            .any(|key| key.name == name || key.digest == digest)
+        {
+            entry.problem(
+                "name",
+                "or its digest stands twice; give each operator one key",
+            );
+        }
+        keys.push(OperatorKey { name, digest });
+    }
+    keys
+}
+
+fn traffic_threads(fields: &mut Fields<'_>) -> usize {
+    let threads = fields
+        .optional("traffic_threads")
+        .unwrap_or(DEFAULT_TRAFFIC_THREADS);
+    if threads == 0 || threads > MAX_TRAFFIC_THREADS {
+        fields.problem(
+            "traffic_threads",
+            &format!("is {threads}; choose 1 to {MAX_TRAFFIC_THREADS}"),
+        );
+    }
+    threads
+}
+
+fn distinct(fields: &Fields<'_>, addresses: &[(&str, Option<SocketAddr>)]) {
+    for (i, (name, address)) in addresses.iter().enumerate() {
+        let Some(address) = address.filter(|address| address.port() != 0) else {
+            continue;
+        };
+        let same = addresses[..i]
+            .iter()
+            .find(|(_, other)| *other == Some(address));
+        if let Some((other, _)) = same {
+            fields.problem(
+                name,
+                &format!("is the same address as `{other}`; choose another port"),
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/bin/standin-engine.rs
@@ -0,0 +1,69 @@
+//! Stand-in for a model engine.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+use mimalloc::MiMalloc;
+
+use briarhall_net::ServerOptions;
+use briarhall_net::serve;
+use briarhall_standins::engine::Cost;
+use briarhall_standins::engine::EngineHandler;
+use briarhall_standins::engine::EngineOptions;
+use briarhall_standins::engine::Limits;
+use briarhall_standins::run;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+/// stand-in for a model engine, for tests and the lab
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// address to listen on; port 0 takes a free one
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 0))")]
+    listen: SocketAddr,
+    /// simulated seconds in one real second
+    #[argh(option, default = "10.0")]
+    time_scale: f64,
+    /// KV memory, in tokens
+    #[argh(option, default = "400_000")]
+    kv_tokens: u64,
+    /// lag of load reports, in milliseconds
+    #[argh(option, default = "50")]
+    report_lag_ms: u64,
+    /// whether orders with an old fencing number are refused
+    #[argh(switch)]
+    checks_fencing: bool,
+    /// of each hundred cache events, how many are lost
+    #[argh(option, default = "5")]
+    lost_events: u64,
+}
+
+fn main() -> ExitCode {
+    let args = argh::from_env::<Args>();
+    let options = EngineOptions {
+        cost: Cost::default(),
+        limits: Limits {
+            kv_tokens: args.kv_tokens,
+            ..Limits::default()
+        },
+        time_scale: args.time_scale,
+        report_lag: Duration::from_millis(args.report_lag_ms),
+        checks_fencing: args.checks_fencing,
+        lost_events_percent: args.lost_events,
+    };
+    let started = run(args.listen, 1, |listener, executor| {
+        let handler = EngineHandler::new(options, &executor);
+        executor.detach(handler.clone().run_clock());
+        serve(listener, executor, ServerOptions::default(), handler)
+    });
+    match started {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("standin-engine: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/http.rs
@@ -0,0 +1,681 @@
+//! The engine's HTTP interface and the loop that gives it time.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::process;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_io::Timer;
+use bytes::Bytes;
+use compact_str::CompactString;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+
+use briarhall_net::Body;
+use briarhall_net::BodySender;
+use briarhall_net::Call;
+use briarhall_net::Executor;
+use briarhall_net::Handler;
+use briarhall_net::HttpClient;
+use briarhall_net::event;
+use briarhall_net::json;
+use briarhall_net::read_limited;
+use briarhall_net::status;
+use briarhall_types::LoadReport;
+use briarhall_types::estimate_tokens;
+
+use super::cache::block_chain;
+use super::load::LoadHistory;
+use super::simulation::Cost;
+use super::simulation::Limits;
+use super::simulation::Progress;
+use super::simulation::Refusal;
+use super::simulation::Simulation;
+use super::simulation::Submission;
+use super::text::token_text;
+use briarhall_endpoint::wire::CompletionCall;
+use briarhall_endpoint::wire::Frame;
+use briarhall_endpoint::wire::Holding;
+use briarhall_endpoint::wire::HoldingKind;
+use briarhall_endpoint::wire::KvPart;
+use briarhall_endpoint::wire::Ledger;
+use briarhall_endpoint::wire::Order;
+use briarhall_endpoint::wire::PrefillCall;
+use briarhall_endpoint::wire::ReserveCall;
+
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// A prompt that holds this text ends the engine when it is prefilled.
+const CRASH_TEXT: &str = "<<crash-engine>>";
+const CRASH_CODE: i32 = 134;
+const FINISHED_KEPT: usize = 512;
+const EVENTS_KEPT: usize = 1_024;
+const IDLE_WAIT: Duration = Duration::from_millis(50);
+const PEER_LIMIT: Duration = Duration::from_secs(2);
+const MIN_SLEEP: Duration = Duration::from_micros(200);
+
+/// How the engine behaves.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineOptions {
+    /// Costs of a step.
+    pub cost: Cost,
+    /// Sizes.
+    pub limits: Limits,
+    /// Simulated seconds that pass in one real second.
+    pub time_scale: f64,
+    /// Real time by which load reports lag.
+    pub report_lag: Duration,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+    /// Of each hundred cache events, how many are never published.
+    pub lost_events_percent: u64,
+}
+
+#[derive(Debug)]
+struct Stream {
+    digest: blake3::Hash,
+    crashes: bool,
+    produced: u64,
+    done: bool,
+    wake: Option<Sender<()>>,
+}
+
+#[derive(Debug)]
+struct Ownership {
+    owner: CompactString,
+    lapses: Instant,
+}
+
+#[derive(Debug)]
+struct State {
+    simulation: Simulation,
+    streams: HashMap<CompactString, Stream>,
+    finished: VecDeque<CompactString>,
+    owners: HashMap<CompactString, Ownership>,
+    history: LoadHistory,
+    leaving: bool,
+    fencing: u64,
+    orders: Vec<Order>,
+    events: VecDeque<CacheEvent>,
+    event_number: u64,
+    kick: Option<Sender<()>>,
+    /// Digests of the prompts that were taken, for checks.
+    taken: HashSet<blake3::Hash>,
+}
+
+#[derive(Debug, Clone, serde::Serialize)]
+struct CacheEvent {
+    number: u64,
+    blocks: usize,
+}
+
+/// Answers the engine's calls.
+#[derive(Debug, Clone)]
+pub struct EngineHandler {
+    options: EngineOptions,
+    executor: Executor,
+    client: HttpClient,
+    incarnation: u64,
+    state: Arc<Mutex<State>>,
+}
+
+impl EngineHandler {
+    /// Creates an idle engine.
+    #[must_use]
+    pub fn new(options: EngineOptions, executor: &Executor) -> Self {
+        let state = State {
+            simulation: Simulation::new(options.cost, options.limits),
+            streams: HashMap::new(),
+            finished: VecDeque::new(),
+            owners: HashMap::new(),
+            history: LoadHistory::new(options.report_lag),
+            leaving: false,
+            fencing: 0,
+            orders: Vec::new(),
+            events: VecDeque::new(),
+            event_number: 0,
+            kick: None,
+            taken: HashSet::new(),
+        };
+        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let nanos = since_epoch.map_or(0, |d| d.as_nanos());
+        Self {
+            options,
+            executor: executor.clone(),
+            client: HttpClient::new(executor.clone()),
+            incarnation: u64::try_from(nanos).unwrap_or(u64::MAX),
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives the simulation its time, for ever.
+    pub async fn run_clock(self) {
+        loop {
+            let step = self.state().simulation.begin_step();
+            self.record_load();
+            let Some(duration) = step else {
+                self.wait_for_work().await;
+                continue;
+            };
+            let real = duration.div_f64(self.options.time_scale);
+            Timer::after(real.max(MIN_SLEEP)).await;
+            self.finish_step();
+        }
+    }
+
+    async fn wait_for_work(&self) {
+        let (tx, rx) = async_channel::bounded(1);
+        self.state().kick = Some(tx);
+        // Idle reports must still grow old, so wake now and then.
+        let _either = briarhall_net::timeout(IDLE_WAIT, rx.recv()).await;
+    }
+
+    fn finish_step(&self) {
+        let mut state = self.state();
+        let progress = state.simulation.end_step();
+        for p in progress {
+            state.publish(p, self.options.lost_events_percent);
+        }
+    }
+
+    fn record_load(&self) {
+        let mut state = self.state();
+        let report = LoadReport {
+            leaving: state.leaving,
+            incarnation: self.incarnation,
+            ..state.simulation.load()
+        };
+        state.history.record(report, Instant::now());
+    }
+
+    async fn route(&self, req: Request<Incoming>) -> Response<Body> {
+        let method = req.method().clone();
+        let path = req.uri().path().to_owned();
+        let query = req.uri().query().unwrap_or_default().to_owned();
+        let header = |name: &str| {
+            let value = req.headers().get(name)?.to_str().ok()?;
+            Some(CompactString::from(value))
+        };
+        let attempt = header("x-request-id");
+        let owner = header("x-owner").unwrap_or_default();
+        let lease = header("x-lease-ms").and_then(|text| text.parse().ok());
+        let lease = Duration::from_millis(lease.unwrap_or(60_000));
+        let Ok(body) = read_limited(req.into_body(), MAX_BODY_BYTES).await else {
+            return status(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        let parts = path.trim_start_matches('/').split('/').collect::<Vec<_>>();
+        match (&method, parts.as_slice()) {
+            (&Method::POST, ["v1", "completions"]) => {
+                let Some(id) = attempt else {
+                    return refuse(StatusCode::BAD_REQUEST, "x-request-id is missing");
+                };
+                self.complete(id, owner, lease, &body).await
+            }
+            (&Method::GET, ["v1", "requests", id, "stream"]) => {
+                let from = query.strip_prefix("from=").and_then(|n| n.parse().ok());
+                self.stream(CompactString::from(*id), from.unwrap_or(0))
+            }
+            (&Method::POST, ["v1", "requests", id, "renew"]) => self.renew(id, lease),
+            (&Method::DELETE, ["v1", "requests", id]) => self.cancel(id),
+            (&Method::POST, ["v1", "reservations"]) => match serde_json::from_slice(&body) {
+                Ok(call) => self.reserve(call),
+                Err(e) => refuse(StatusCode::BAD_REQUEST, &e.to_string()),
+            },
+            (&Method::GET, ["v1", "reservations", name]) => self.reservation(name),
+            (&Method::POST, ["v1", "reservations", name, "renew"]) => self.renew(name, lease),
+            (&Method::DELETE, ["v1", "reservations", name]) => self.release(name),
+            (&Method::POST, ["v1", "reservations", name, "prefill"]) => {
+                match serde_json::from_slice(&body) {
+                    Ok(call) => self.prefill(name, call).await,
+                    Err(e) => refuse(StatusCode::BAD_REQUEST, &e.to_string()),
+                }
+            }
+            (&Method::GET, ["v1", "load"]) => self.load(),
+            (&Method::GET, ["v1", "holdings"]) => self.holdings(),
+            (&Method::GET, ["v1", "events"]) => self.events(&query),
+            (&Method::GET, ["v1", "ledger"]) => self.ledger(),
+            (&Method::GET, ["v1", "taken", digest]) => {
+                let digest = blake3::Hash::from_hex(digest);
+                let taken = digest.is_ok_and(|digest| self.state().taken.contains(&digest));
+                json(StatusCode::OK, &taken)
+            }
+            (&Method::POST, ["v1", "orders"]) => match serde_json::from_slice(&body) {
+                Ok(order) => self.order(order),
+                Err(e) => refuse(StatusCode::BAD_REQUEST, &e.to_string()),
+            },
+            (&Method::POST, ["v1", "control", "leave"]) => {
+                self.state().leaving = true;
+                status(StatusCode::OK)
+            }
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn complete(
+        &self,
+        id: CompactString,
+        owner: CompactString,
+        lease: Duration,
+        body: &[u8],
+    ) -> Response<Body> {
+        let call = match serde_json::from_slice::<CompletionCall>(body) {
+            Ok(call) => call,
+            Err(e) => return refuse(StatusCode::BAD_REQUEST, &e.to_string()),
+        };
+        if self.state().leaving {
+            return refuse(StatusCode::SERVICE_UNAVAILABLE, "leaving");
+        }
+        let held_elsewhere = match self.parts_prefilled(&call.kv_parts).await {
+            Ok(tokens) => tokens,
+            Err(reply) => return reply,
+        };
+        if let Err(refusal) = self.submit(&id, owner, lease, &call, held_elsewhere) {
+            return from_refusal(refusal);
+        }
+        self.stream(id, call.resume_from)
+    }
+
+    fn submit(
+        &self,
+        id: &CompactString,
+        owner: CompactString,
+        lease: Duration,
+        call: &CompletionCall,
+        held_elsewhere: u64,
+    ) -> Result<(), Refusal> {
+        let chain = block_chain(call.prompt.as_bytes());
+        let digest = blake3::hash(call.prompt.as_bytes());
+        let prompt_tokens = estimate_tokens(call.prompt.len());
+        let mut state = self.state();
+        let held_here = call.reservation.as_ref().map_or(0, |name| {
+            let reservation = state.simulation.reservations().get(name);
+            reservation.map_or(0, |r| r.prefilled)
+        });
+        state.simulation.submit(Submission {
+            id: id.clone(),
+            priority: call.priority,
+            prompt_tokens: prompt_tokens.saturating_sub(held_elsewhere + held_here),
+            max_tokens: call.max_tokens,
+            resume_from: call.resume_from,
+            reservation: call.reservation.clone(),
+            chain,
+        })?;
+        let stream = Stream {
+            digest,
+            crashes: call.prompt.contains(CRASH_TEXT),
+            produced: call.resume_from,
+            done: false,
+            wake: None,
+        };
+        state.taken.insert(digest);
+        state.streams.insert(id.clone(), stream);
+        let lapses = Instant::now() + lease;
+        state.owners.insert(id.clone(), Ownership { owner, lapses });
+        state.kick = None;
+        Ok(())
+    }
+
+    /// Asks the engines that hold parts of the prompt what they have.
+    async fn parts_prefilled(&self, parts: &[KvPart]) -> Result<u64, Response<Body>> {
+        let mut tokens = 0;
+        for part in parts {
+            let path = format!("/v1/reservations/{}", part.reservation);
+            let call = Call::get(part.address, path);
+            let held = self.client.fetch::<Holding>(call, PEER_LIMIT).await;
+            let held = held.map_err(|e| refuse(StatusCode::CONFLICT, &e.to_string()))?;
+            tokens += held.prefilled;
+        }
+        Ok(tokens)
+    }
+
+    fn stream(&self, id: CompactString, from: u64) -> Response<Body> {
+        if !self.state().streams.contains_key(&id) {
+            return refuse(StatusCode::NOT_FOUND, "no such request");
+        }
+        let (tx, body) = Body::channel();
+        let engine = self.clone();
+        self.executor.detach(engine.write_stream(id, from, tx));
+        let mut reply = Response::new(body);
+        let media_type = HeaderValue::from_static("text/event-stream");
+        reply.headers_mut().insert(CONTENT_TYPE, media_type);
+        reply
+    }
+
+    async fn write_stream(self, id: CompactString, from: u64, tx: BodySender) {
+        let mut next = from;
+        loop {
+            let Some((digest, produced, done, changed)) = self.look(&id) else {
+                return;
+            };
+            while next < produced {
+                let frame = Frame {
+                    id: id.clone(),
+                    index: next,
+                    text: token_text(&digest, next),
+                    finish_reason: None,
+                };
+                if tx.send(event(&frame)).await.is_err() {
+                    return;
+                }
+                next += 1;
+            }
+            if done {
+                break;
+            }
+            // Woken by progress, by another reader, or by a cancel.
+            let _woken = changed.recv().await;
+        }
+        let end = Frame {
+            id,
+            index: next,
+            text: String::new(),
+            finish_reason: Some(CompactString::from("length")),
+        };
+        if tx.send(event(&end)).await.is_ok()
+            && tx
+                .send(Bytes::from_static(b"data: [DONE]\n\n"))
+                .await
+                .is_ok()
+        {
+            tx.finish().await;
+        }
+    }
+
+    fn look(&self, id: &str) -> Option<(blake3::Hash, u64, bool, Receiver<()>)> {
+        let mut state = self.state();
+        let stream = state.streams.get_mut(id)?;
+        let (tx, rx) = async_channel::bounded(1);
+        stream.wake = Some(tx);
+        Some((stream.digest, stream.produced, stream.done, rx))
+    }
+
+    fn cancel(&self, id: &str) -> Response<Body> {
+        let mut state = self.state();
+        state.streams.remove(id);
+        state.owners.remove(id);
+        let known = state.simulation.cancel(id);
+        status(if known {
+            StatusCode::OK
+        } else {
+            StatusCode::NOT_FOUND
+        })
+    }
+
+    fn renew(&self, name: &str, lease: Duration) -> Response<Body> {
+        let mut state = self.state();
+        match state.owners.get_mut(name) {
+            Some(ownership) => {
+                ownership.lapses = Instant::now() + lease;
+                status(StatusCode::OK)
+            }
+            None => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn reserve(&self, call: ReserveCall) -> Response<Body> {
+        let mut state = self.state();
+        if state.leaving {
+            return refuse(StatusCode::SERVICE_UNAVAILABLE, "leaving");
+        }
+        let reserved = state
+            .simulation
+            .reserve(call.name.clone(), call.tokens, call.owner.clone());
+        match reserved {
+            Ok(()) => {
+                let lapses = Instant::now() + Duration::from_millis(call.lease_ms);
+                let owner = call.owner;
+                state.owners.insert(call.name, Ownership { owner, lapses });
+                status(StatusCode::CREATED)
+            }
+            Err(refusal) => from_refusal(refusal),
+        }
+    }
+
+    fn reservation(&self, name: &str) -> Response<Body> {
+        let state = self.state();
+        match state.simulation.reservations().get(name) {
+            Some(held) => json(
+                StatusCode::OK,
+                &Holding {
+                    name: CompactString::from(name),
+                    kind: HoldingKind::Reservation,
+                    tokens: held.tokens,
+                    prefilled: held.prefilled,
+                    owner: held.owner.clone(),
+                    lease_left_ms: state.lease_left(name),
+                },
+            ),
+            None => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn release(&self, name: &str) -> Response<Body> {
+        let mut state = self.state();
+        state.streams.remove(name);
+        state.owners.remove(name);
+        let known = state.simulation.release(name);
+        status(if known {
+            StatusCode::OK
+        } else {
+            StatusCode::NOT_FOUND
+        })
+    }
+
+    /// Answers when the part is prefilled.
+    async fn prefill(&self, name: &str, call: PrefillCall) -> Response<Body> {
+        let id = CompactString::from(name);
+        let submitted = self.submit_part(&id, &call);
+        match submitted {
+            Ok(()) | Err(Refusal::Duplicate) => {}
+            Err(refusal) => return from_refusal(refusal),
+        }
+        loop {
+            let Some((_, _, done, changed)) = self.look(&id) else {
+                return refuse(StatusCode::CONFLICT, "the reservation was released");
+            };
+            if done {
+                return status(StatusCode::OK);
+            }
+            let _woken = changed.recv().await;
+        }
+    }
+
+    fn submit_part(&self, id: &CompactString, call: &PrefillCall) -> Result<(), Refusal> {
+        let mut state = self.state();
+        if state.streams.contains_key(id) {
+            return Err(Refusal::Duplicate);
+        }
+        state.simulation.submit(Submission {
+            id: id.clone(),
+            priority: call.priority,
+            prompt_tokens: call.tokens,
+            max_tokens: 0,
+            resume_from: 0,
+            reservation: Some(id.clone()),
+            chain: Vec::new(),
+        })?;
+        let stream = Stream {
+            digest: blake3::hash(b""),
+            crashes: false,
+            produced: 0,
+            done: false,
+            wake: None,
+        };
+        state.streams.insert(id.clone(), stream);
+        state.kick = None;
+        Ok(())
+    }
+
+    fn load(&self) -> Response<Body> {
+        let state = self.state();
+        match state.history.shown(Instant::now()) {
+            Some(report) => json(StatusCode::OK, report),
+            None => status(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+
+    fn holdings(&self) -> Response<Body> {
+        let state = self.state();
+        let reservations = state.simulation.reservations().iter();
+        let mut holdings = reservations
+            .map(|(name, held)| Holding {
+                name: name.clone(),
+                kind: HoldingKind::Reservation,
+                tokens: held.tokens,
+                prefilled: held.prefilled,
+                owner: held.owner.clone(),
+                lease_left_ms: state.lease_left(name),
+            })
+            .collect::<Vec<_>>();
+        let running = state.simulation.running().map(|(id, tokens)| Holding {
+            name: id.clone(),
+            kind: HoldingKind::Request,
+            tokens,
+            prefilled: 0,
+            owner: state
+                .owners
+                .get(id)
+                .map_or_else(CompactString::default, |o| o.owner.clone()),
+            lease_left_ms: state.lease_left(id),
+        });
+        holdings.extend(running);
+        json(StatusCode::OK, &holdings)
+    }
+
+    fn events(&self, query: &str) -> Response<Body> {
+        let after = query.strip_prefix("after=").and_then(|n| n.parse().ok());
+        let after: u64 = after.unwrap_or(0);
+        let state = self.state();
+        let events = state.events.iter().filter(|e| e.number > after);
+        json(StatusCode::OK, &events.cloned().collect::<Vec<_>>())
+    }
+
+    fn ledger(&self) -> Response<Body> {
+        let state = self.state();
+        let counts = state.simulation.counts();
+        let load = state.simulation.load();
+        json(
+            StatusCode::OK,
+            &Ledger {
+                started: counts.started,
+                finished: counts.finished,
+                kv_used: load.kv_used,
+                kv_peak: counts.kv_peak,
+                requests: load.requests,
+                reservations: state.simulation.reservations().len() as u64,
+                orders: state.orders.clone(),
+                cached_tokens: counts.cached_tokens,
+            },
+        )
+    }
+
+    fn order(&self, order: Order) -> Response<Body> {
+        let mut state = self.state();
+        if self.options.checks_fencing && order.fencing < state.fencing {
+            return refuse(StatusCode::PRECONDITION_FAILED, "old fencing number");
+        }
+        state.fencing = state.fencing.max(order.fencing);
+        state.orders.push(order);
+        status(StatusCode::OK)
+    }
+}
+
+impl State {
+    fn lease_left(&self, name: &str) -> i64 {
+        let Some(ownership) = self.owners.get(name) else {
+            return 0;
+        };
+        let now = Instant::now();
+        let millis = |d: Duration| i64::try_from(d.as_millis()).unwrap_or(i64::MAX);
+        if ownership.lapses >= now {
+            millis(ownership.lapses - now)
+        } else {
+            -millis(now - ownership.lapses)
+        }
+    }
+
+    fn publish(&mut self, progress: Progress, lost_events_percent: u64) {
+        let Some(stream) = self.streams.get_mut(&progress.id) else {
+            return;
+        };
+        if progress.prefilled && stream.crashes {
+            process::exit(CRASH_CODE);
+        }
+        stream.produced = progress.produced;
+        stream.done = progress.done;
+        // Dropping the sender wakes the reader.
+        stream.wake = None;
+        if progress.prefilled {
+            self.event_number += 1;
+            if self.event_number * 37 % 100 >= lost_events_percent {
+                let number = self.event_number;
+                self.events.push_back(CacheEvent { number, blocks: 1 });
+            }
+            if self.events.len() > EVENTS_KEPT {
+                self.events.pop_front();
+            }
+        }
+        if progress.done {
+            self.keep_finished(progress.id);
+        }
+    }
+
+    fn is_part(&self, id: &str) -> bool {
+        self.simulation.reservations().contains_key(id)
+    }
+
+    /// A finished answer stays readable for a while, so that a reader that
+    /// lost its connection can fetch the rest.
+    fn keep_finished(&mut self, id: CompactString) {
+        if self.is_part(&id) {
+            return;
+        }
+        self.owners.remove(&id);
+        self.finished.push_back(id);
+        if self.finished.len() > FINISHED_KEPT
+            && let Some(oldest) = self.finished.pop_front()
+        {
+            self.streams.remove(&oldest);
+        }
+    }
+}
+
+fn refuse(code: StatusCode, reason: &str) -> Response<Body> {
+    let mut reply = Response::new(Body::whole(reason.to_owned()));
+    *reply.status_mut() = code;
+    reply
+}
+
+fn from_refusal(refusal: Refusal) -> Response<Body> {
+    let code = match refusal {
+        Refusal::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+        Refusal::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+        Refusal::NoMemory => StatusCode::INSUFFICIENT_STORAGE,
+        Refusal::Duplicate | Refusal::NoReservation => StatusCode::CONFLICT,
+    };
+    refuse(code, &refusal.to_string())
+}
+
+impl Handler for EngineHandler {
+    async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        self.route(req).await
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/simulation.rs
@@ -0,0 +1,474 @@
+//! Continuous batching with chunked prefill, priorities and KV memory.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+use thiserror::Error;
+
+use briarhall_types::LengthClass;
+use briarhall_types::LoadReport;
+
+use super::cache::BlockChain;
+use super::cache::PrefixCache;
+
+new_key_type! {
+    /// Key of a request in the engine.
+    pub struct WorkKey;
+}
+
+/// What a step costs, in the engine's own time.
+#[derive(Debug, Clone, Copy)]
+pub struct Cost {
+    /// Each step.
+    pub step: Duration,
+    /// Each prompt token prefilled.
+    pub prefill_token: Duration,
+    /// Each sequence in the decode batch.
+    pub decode_sequence: Duration,
+}
+
+impl Default for Cost {
+    fn default() -> Self {
+        Self {
+            step: Duration::from_millis(10),
+            prefill_token: Duration::from_micros(50),
+            decode_sequence: Duration::from_micros(100),
+        }
+    }
+}
+
+/// Sizes of the engine.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// KV memory, in tokens.
+    pub kv_tokens: u64,
+    /// Prompt tokens prefilled in one step, over all requests.
+    pub chunk_tokens: u64,
+    /// Requests that may wait or run.
+    pub max_requests: usize,
+    /// Blocks in the prefix cache.
+    pub cache_blocks: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            kv_tokens: 400_000,
+            chunk_tokens: 1_024,
+            max_requests: 256,
+            cache_blocks: 200,
+        }
+    }
+}
+
+/// Says why the engine does not take work; nothing of it ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum Refusal {
+    /// It can never fit.
+    #[error("the prompt needs {needed} tokens of memory and the engine has {capacity}")]
+    TooLarge {
+        /// Tokens needed.
+        needed: u64,
+        /// Tokens the engine has.
+        capacity: u64,
+    },
+    /// Too many requests wait.
+    #[error("the queue is full")]
+    QueueFull,
+    /// There is no memory for a reservation now.
+    #[error("there is no memory for the reservation")]
+    NoMemory,
+    /// The id or name is in use for something else.
+    #[error("the name is in use")]
+    Duplicate,
+    /// The reservation is unknown.
+    #[error("there is no such reservation")]
+    NoReservation,
+}
+
+/// Work for the engine.
+#[derive(Debug, Clone)]
+pub struct Submission {
+    /// Attempt id, or the reservation's name for a part of a prompt.
+    pub id: CompactString,
+    /// Lower runs first.
+    pub priority: i64,
+    /// Tokens of the prompt still to prefill here.
+    pub prompt_tokens: u64,
+    /// Tokens to generate.
+    pub max_tokens: u64,
+    /// First token to generate.
+    pub resume_from: u64,
+    /// Reservation that holds its memory, if any.
+    pub reservation: Option<CompactString>,
+    /// Cached blocks of the prompt.
+    pub chain: BlockChain,
+}
+
+#[derive(Debug)]
+struct Work {
+    submission: Submission,
+    sequence: u64,
+    memory: u64,
+    running: bool,
+    prefill_left: u64,
+    produced: u64,
+    step_prefill: u64,
+    short: bool,
+}
+
+impl Work {
+    fn order(&self) -> (i64, u64) {
+        (self.submission.priority, self.sequence)
+    }
+
+    fn done(&self) -> bool {
+        self.prefill_left == 0 && self.produced >= self.submission.max_tokens
+    }
+}
+
+/// A reservation of memory.
+#[derive(Debug, Clone)]
+pub struct Reservation {
+    /// Tokens held.
+    pub tokens: u64,
+    /// Who holds it.
+    pub owner: CompactString,
+    /// Tokens prefilled into it.
+    pub prefilled: u64,
+}
+
+/// What a finished step brought to one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Progress {
+    /// The request.
+    pub id: CompactString,
+    /// Tokens generated so far, counted from the first of the answer.
+    pub produced: u64,
+    /// Whether prefill ended in this step.
+    pub prefilled: bool,
+    /// Whether it ended in this step.
+    pub done: bool,
+}
+
+/// One engine, driven by whoever holds the clock.
+#[derive(Debug)]
+pub struct Simulation {
+    cost: Cost,
+    limits: Limits,
+    work: SlotMap<WorkKey, Work>,
+    by_id: HashMap<CompactString, WorkKey>,
+    reservations: HashMap<CompactString, Reservation>,
+    cache: PrefixCache,
+    sequence: u64,
+    kv_used: u64,
+    kv_peak: u64,
+    started: u64,
+    finished: u64,
+    cached_tokens: u64,
+}
+
+impl Simulation {
+    /// Creates an idle engine.
+    #[must_use]
+    pub fn new(cost: Cost, limits: Limits) -> Self {
+        Self {
+            cost,
+            limits,
+            work: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            reservations: HashMap::new(),
+            cache: PrefixCache::new(limits.cache_blocks),
+            sequence: 0,
+            kv_used: 0,
+            kv_peak: 0,
+            started: 0,
+            finished: 0,
+            cached_tokens: 0,
+        }
+    }
+
+    /// Takes work, or refuses it before anything ran.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it was refused.
+    pub fn submit(&mut self, submission: Submission) -> Result<(), Refusal> {
+        if self.by_id.contains_key(&submission.id) {
+            return Err(Refusal::Duplicate);
+        }
+        if self.work.len() >= self.limits.max_requests {
+            return Err(Refusal::QueueFull);
+        }
+        let memory = self.memory_for(&submission)?;
+        let cached = self.cache.hit_tokens(&submission.chain);
+        let prefill_left = submission.prompt_tokens.saturating_sub(cached).max(1);
+        self.cached_tokens += submission.prompt_tokens - prefill_left.min(submission.prompt_tokens);
+        self.sequence += 1;
+        let id = submission.id.clone();
+        let key = self.work.insert(Work {
+            short: LengthClass::of(submission.prompt_tokens) == LengthClass::Short,
+            produced: submission.resume_from,
+            submission,
+            sequence: self.sequence,
+            memory,
+            running: false,
+            prefill_left,
+            step_prefill: 0,
+        });
+        self.by_id.insert(id, key);
+        Ok(())
+    }
+
+    fn memory_for(&self, submission: &Submission) -> Result<u64, Refusal> {
+        if let Some(name) = &submission.reservation {
+            let held = self.reservations.contains_key(name);
+            return if held {
+                Ok(0)
+            } else {
+                Err(Refusal::NoReservation)
+            };
+        }
+        let needed = submission.prompt_tokens + submission.max_tokens;
+        let capacity = self.limits.kv_tokens;
+        if needed > capacity {
+            return Err(Refusal::TooLarge { needed, capacity });
+        }
+        Ok(needed)
+    }
+
+    /// Ends a request and frees its memory. Repeats do nothing.
+    pub fn cancel(&mut self, id: &str) -> bool {
+        let Some(key) = self.by_id.remove(id) else {
+            return false;
+        };
+        if let Some(work) = self.work.remove(key)
+            && work.running
+        {
+            self.kv_used -= work.memory;
+        }
+        true
+    }
+
+    /// Holds memory. Idempotent by name.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no memory.
+    pub fn reserve(
+        &mut self,
+        name: CompactString,
+        tokens: u64,
+        owner: CompactString,
+    ) -> Result<(), Refusal> {
+        if let Some(held) = self.reservations.get(&name) {
+            let same = held.tokens == tokens && held.owner == owner;
+            return if same {
+                Ok(())
+            } else {
+                Err(Refusal::Duplicate)
+            };
+        }
+        let capacity = self.limits.kv_tokens;
+        if tokens > capacity {
+            return Err(Refusal::TooLarge {
+                needed: tokens,
+                capacity,
+            });
+        }
+        if self.kv_used + tokens > capacity {
+            return Err(Refusal::NoMemory);
+        }
+        self.take_memory(tokens);
+        let reservation = Reservation {
+            tokens,
+            owner,
+            prefilled: 0,
+        };
+        self.reservations.insert(name, reservation);
+        Ok(())
+    }
+
+    /// Frees a reservation and what runs in it. Repeats do nothing.
+    pub fn release(&mut self, name: &str) -> bool {
+        let Some(reservation) = self.reservations.remove(name) else {
+            return false;
+        };
+        self.kv_used -= reservation.tokens;
+        let inside = |work: &&Work| work.submission.reservation.as_deref() == Some(name);
+        let ids = self
+            .work
+            .values()
+            .filter(inside)
+            .map(|work| work.submission.id.clone());
+        for id in ids.collect::<Vec<_>>() {
+            self.cancel(&id);
+        }
+        true
+    }
+
+    /// Returns the reservations by name.
+    #[must_use]
+    pub fn reservations(&self) -> &HashMap<CompactString, Reservation> {
+        &self.reservations
+    }
+
+    /// Returns the requests that hold memory, with the tokens they hold.
+    pub fn running(&self) -> impl Iterator<Item = (&CompactString, u64)> {
+        let running = self.work.values().filter(|work| work.running);
+        running.map(|work| (&work.submission.id, work.memory))
+    }
+
+    /// Returns whether a request is known and not yet done.
+    #[must_use]
+    pub fn knows(&self, id: &str) -> bool {
+        self.by_id.contains_key(id)
+    }
+
+    /// Plans the next step and returns how long it takes, or nothing when the
+    /// engine is idle.
+    pub fn begin_step(&mut self) -> Option<Duration> {
+        let mut order = self.work.keys().collect::<Vec<_>>();
+        order.sort_unstable_by_key(|key| self.work[*key].order());
+        self.give_memory(&order);
+        let mut budget = self.limits.chunk_tokens;
+        let mut prefilled = 0;
+        let mut decoding = 0;
+        for key in order {
+            let work = &mut self.work[key];
+            if !work.running {
+                continue;
+            }
+            if work.prefill_left == 0 {
+                decoding += 1;
+                continue;
+            }
+            work.step_prefill = work.prefill_left.min(budget);
+            budget -= work.step_prefill;
+            prefilled += work.step_prefill;
+        }
+        if prefilled == 0 && decoding == 0 {
+            return None;
+        }
+        let prefill = self.cost.prefill_token * u32::try_from(prefilled).unwrap_or(u32::MAX);
+        Some(self.cost.step + prefill + self.cost.decode_sequence * decoding)
+    }
+
+    /// Requests get memory strictly in order: one that does not fit holds up
+    /// all behind it, as engines do.
+    fn give_memory(&mut self, order: &[WorkKey]) {
+        for key in order {
+            let work = &self.work[*key];
+            if work.running {
+                continue;
+            }
+            let memory = work.memory;
+            if self.kv_used + memory > self.limits.kv_tokens {
+                break;
+            }
+            self.take_memory(memory);
+            self.started += 1;
+            self.work[*key].running = true;
+        }
+    }
+
+    fn take_memory(&mut self, tokens: u64) {
+        self.kv_used += tokens;
+        self.kv_peak = self.kv_peak.max(self.kv_used);
+    }
+
+    /// Ends the step that was planned and returns what it brought.
+    pub fn end_step(&mut self) -> Vec<Progress> {
+        let mut progress = Vec::new();
+        for work in self.work.values_mut().filter(|work| work.running) {
+            if work.step_prefill > 0 {
+                work.prefill_left -= work.step_prefill;
+                work.step_prefill = 0;
+                if work.prefill_left > 0 {
+                    continue;
+                }
+                self.cache.insert(&work.submission.chain);
+                work.produced += u64::from(work.submission.max_tokens > work.produced);
+                progress.push(Self::progress(work, true));
+            } else if work.prefill_left == 0 {
+                work.produced += 1;
+                progress.push(Self::progress(work, false));
+            }
+        }
+        for ended in progress.iter().filter(|p| p.done) {
+            self.finished += 1;
+            self.record_part(&ended.id);
+            self.cancel(&ended.id);
+        }
+        progress
+    }
+
+    fn progress(work: &Work, prefilled: bool) -> Progress {
+        Progress {
+            id: work.submission.id.clone(),
+            produced: work.produced,
+            prefilled,
+            done: work.done(),
+        }
+    }
+
+    /// A part of a prompt is submitted under its reservation's name.
+    fn record_part(&mut self, id: &CompactString) {
+        let Some(key) = self.by_id.get(id) else {
+            return;
+        };
+        let tokens = self.work[*key].submission.prompt_tokens;
+        if let Some(reservation) = self.reservations.get_mut(id) {
+            reservation.prefilled = tokens;
+        }
+    }
+
+    /// Returns the load right now.
+    #[must_use]
+    pub fn load(&self) -> LoadReport {
+        let left = |work: &Work| work.prefill_left;
+        LoadReport {
+            requests: self.work.len() as u64,
+            queued_tokens: self.work.values().map(left).sum(),
+            queued_short_tokens: self.work.values().filter(|w| w.short).map(left).sum(),
+            kv_used: self.kv_used,
+            kv_reserved: self.reservations.values().map(|r| r.tokens).sum(),
+            kv_capacity: self.limits.kv_tokens,
+            decoding: self
+                .work
+                .values()
+                .filter(|w| w.running && w.prefill_left == 0)
+                .count() as u64,
+            leaving: false,
+            incarnation: 0,
+        }
+    }
+
+    /// Returns counts since the start: started, finished, most memory held,
+    /// tokens taken from the cache.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        Counts {
+            started: self.started,
+            finished: self.finished,
+            kv_peak: self.kv_peak,
+            cached_tokens: self.cached_tokens,
+        }
+    }
+}
+
+/// Counts since the start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests that got memory.
+    pub started: u64,
+    /// Requests that ran to their end.
+    pub finished: u64,
+    /// Most KV tokens held at once.
+    pub kv_peak: u64,
+    /// Prompt tokens taken from the cache.
+    pub cached_tokens: u64,
+}
