--- /dev/null
+++ b/crates/standins/src/proxy.rs
@@ -0,0 +1,227 @@
+//! A TCP proxy that delays, cuts and silences connections.
+//!
+//! Faults are set over HTTP on a port of their own. Silence is for good: a
+//! connection that was open when it began never carries another byte, while
+//! new connections work.
+
+use std::future::pending;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_io::Timer;
+use async_net::TcpListener;
+use async_net::TcpStream;
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
+use futures_lite::future;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde::Serialize;
+
+use briarhall_net::Body;
+use briarhall_net::Executor;
+use briarhall_net::Handler;
+use briarhall_net::json;
+use briarhall_net::read_limited;
+use briarhall_net::status;
+
+const MAX_BODY_BYTES: usize = 64 * 1024;
+const BUFFER_BYTES: usize = 64 * 1024;
+
+/// What happens to new bytes and new connections.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ProxyFaults {
+    /// Delay of bytes toward the server, in milliseconds.
+    pub delay_to_ms: u64,
+    /// Delay of bytes from the server, in milliseconds.
+    pub delay_from_ms: u64,
+    /// Whether new connections are closed at once.
+    pub refuse: bool,
+    /// Whether new connections stay silent.
+    pub silent: bool,
+    /// Bytes from the server after which a connection is cut.
+    pub cut_from_after: Option<u64>,
+    /// Bytes from the server after which a connection goes silent.
+    pub silent_from_after: Option<u64>,
+}
+
+/// An order about the connections that are open now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OpenConnections {
+    /// Close them.
+    Cut,
+    /// Let them carry nothing more.
+    Silence,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    target: Option<SocketAddr>,
+    carried: Option<SocketAddr>,
+    faults: ProxyFaults,
+    open: Vec<Sender<OpenConnections>>,
+    accepted: u64,
+}
+
+/// The proxy's switches.
+#[derive(Debug, Clone, Default)]
+pub struct Proxy {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    ToServer,
+    FromServer,
+}
+
+impl Proxy {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Carries connections for ever, to `target` or, without one, to what is
+    /// set later.
+    pub async fn run(self, listener: TcpListener, target: Option<SocketAddr>, executor: Executor) {
+        self.state().target = target;
+        self.state().carried = listener.local_addr().ok();
+        loop {
+            let Ok((client, _peer)) = listener.accept().await else {
+                continue;
+            };
+            let proxy = self.clone();
+            executor.detach(async move { proxy.carry(client).await });
+        }
+    }
+
+    async fn carry(&self, client: TcpStream) {
+        let (faults, orders) = self.enter();
+        let Some(target) = self.state().target else {
+            return;
+        };
+        if faults.refuse {
+            return;
+        }
+        if faults.silent {
+            pending::<()>().await;
+        }
+        let Ok(server) = TcpStream::connect(target).await else {
+            return;
+        };
+        let _slower = client.set_nodelay(true);
+        let _slower = server.set_nodelay(true);
+        let to = self.pump(client.clone(), server.clone(), Direction::ToServer);
+        let from = self.pump(server.clone(), client.clone(), Direction::FromServer);
+        let both = async {
+            future::zip(to, from).await;
+        };
+        let ordered = async {
+            if orders.recv().await == Ok(OpenConnections::Silence) {
+                pending::<()>().await;
+            }
+        };
+        future::or(both, ordered).await;
+        let _gone = client.shutdown(Shutdown::Both);
+        let _gone = server.shutdown(Shutdown::Both);
+    }
+
+    fn enter(&self) -> (ProxyFaults, Receiver<OpenConnections>) {
+        let (tx, rx) = async_channel::bounded(1);
+        let mut state = self.state();
+        state.accepted += 1;
+        state.open.retain(|tx| !tx.is_closed());
+        state.open.push(tx);
+        (state.faults, rx)
+    }
+
+    async fn pump(&self, mut from: TcpStream, mut to: TcpStream, direction: Direction) {
+        let mut buf = vec![0; BUFFER_BYTES];
+        let mut carried = 0;
+        loop {
+            let Ok(n) = from.read(&mut buf).await else {
+                break;
+            };
+            if n == 0 {
+                break;
+            }
+            let faults = self.state().faults;
+            let delay = match direction {
+                Direction::ToServer => faults.delay_to_ms,
+                Direction::FromServer => faults.delay_from_ms,
+            };
+            if delay > 0 {
+                Timer::after(Duration::from_millis(delay)).await;
+            }
+            carried += n as u64;
+            if direction == Direction::FromServer {
+                if faults
+                    .silent_from_after
+                    .is_some_and(|limit| carried > limit)
+                {
+                    pending::<()>().await;
+                }
+                if faults.cut_from_after.is_some_and(|limit| carried > limit) {
+                    let _gone = from.shutdown(Shutdown::Both);
+                    break;
+                }
+            }
+            if to.write_all(&buf[..n]).await.is_err() {
+                break;
+            }
+        }
+        let _gone = to.shutdown(Shutdown::Write);
+    }
+
+    fn order(&self, order: OpenConnections) {
+        for tx in self.state().open.drain(..) {
+            // A connection that has ended needs no order.
+            let _ended = tx.try_send(order);
+        }
+    }
+}
+
+impl Handler for Proxy {
+    async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        let path = req.uri().path().to_owned();
+        let Ok(body) = read_limited(req.into_body(), MAX_BODY_BYTES).await else {
+            return status(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        match path.as_str() {
+            "/carried" => json(StatusCode::OK, &self.state().carried),
+            "/target" => match serde_json::from_slice(&body) {
+                Ok(target) => {
+                    self.state().target = Some(target);
+                    status(StatusCode::OK)
+                }
+                Err(_e) => status(StatusCode::BAD_REQUEST),
+            },
+            "/faults" => match serde_json::from_slice(&body) {
+                Ok(faults) => {
+                    self.state().faults = faults;
+                    status(StatusCode::OK)
+                }
+                Err(_e) => status(StatusCode::BAD_REQUEST),
+            },
+            "/open" => match serde_json::from_slice(&body) {
+                Ok(order) => {
+                    self.order(order);
+                    status(StatusCode::OK)
+                }
+                Err(_e) => status(StatusCode::BAD_REQUEST),
+            },
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/start.rs
@@ -0,0 +1,68 @@
+//! Start-up shared by the stand-ins: threads, a socket, and one line that says
+//! where it listens.
+
+use std::io;
+use std::io::Write;
+use std::net::SocketAddr;
+
+use async_net::TcpListener;
+use serde::Serialize;
+use thiserror::Error;
+
+use briarhall_net::Executor;
+use briarhall_net::SpawnThreadsError;
+use briarhall_net::Threads;
+use briarhall_net::TimerRuntime;
+use briarhall_net::bind;
+
+/// Says why a stand-in could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// No thread could be started.
+    #[error(transparent)]
+    Threads(#[from] SpawnThreadsError),
+    /// The address could not be used.
+    #[error("cannot listen on {address}: {source}; choose another `--listen`")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+}
+
+#[derive(Debug, Serialize)]
+struct Ready {
+    listening: SocketAddr,
+}
+
+/// Opens `address`, says so on standard output, and runs `server` for ever on
+/// `threads` threads.
+///
+/// # Errors
+///
+/// Returns an error when a thread or the socket cannot be had.
+pub fn run<F, S>(address: SocketAddr, threads: usize, server: S) -> Result<(), StartError>
+where
+    S: FnOnce(TcpListener, Executor) -> F,
+    F: Future<Output = ()>,
+{
+    let executor = Executor::default();
+    let timers = TimerRuntime::start()?;
+    Threads::start("standin", threads.saturating_sub(1), &executor, &timers)?;
+    let bind_error = |source| StartError::Bind { address, source };
+    let listener = bind(address).map_err(bind_error)?;
+    let listening = listener.local_addr().map_err(bind_error)?;
+    announce(&Ready { listening });
+    timers.block_on(&executor, server(listener, executor.clone()));
+    Ok(())
+}
+
+fn announce(ready: &Ready) {
+    let line = serde_json::to_string(ready).unwrap_or_default();
+    let mut out = io::stdout().lock();
+    // Nobody listens on standard output when started by hand into a pipe that
+    // has closed; the stand-in works all the same.
+    let _closed = writeln!(out, "{line}");
+    let _unflushed = out.flush();
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,45 @@
+//! Ids, contracts, outcomes and problem documents shared by every crate.
+//!
+//! Nothing here does input or output, so the decision code and the programs
+//! can agree on words without agreeing on transports.
+
+mod contract;
+mod durations;
+mod endpoint;
+mod ids;
+mod key;
+mod outcome;
+mod problem;
+mod tokens;
+
+pub use contract::CallLimits;
+pub use contract::Contract;
+pub use contract::ContractProblem;
+pub use contract::ModelTerms;
+pub use contract::Objective;
+pub use contract::ServiceTerms;
+pub use durations::DurationTextError;
+pub use durations::duration_text;
+pub use durations::format_duration;
+pub use durations::parse_duration;
+pub use endpoint::EndpointKind;
+pub use endpoint::EndpointRecord;
+pub use endpoint::EndpointState;
+pub use endpoint::LoadReport;
+pub use ids::AttemptId;
+pub use ids::CustomerName;
+pub use ids::EndpointName;
+pub use ids::ModelName;
+pub use ids::RequestId;
+pub use ids::Revision;
+pub use ids::RouterName;
+pub use ids::ServiceName;
+pub use ids::ZoneName;
+pub use ids::new_id;
+pub use key::Digest;
+pub use key::KeyDigestError;
+pub use outcome::Outcome;
+pub use problem::Problem;
+pub use tokens::BYTES_PER_TOKEN;
+pub use tokens::LengthClass;
+pub use tokens::estimate_tokens;
--- /dev/null
+++ b/crates/types/src/problem.rs
@@ -0,0 +1,64 @@
+//! Errors towards callers, as problem documents (RFC 9457).
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Outcome;
+
+/// A problem document with the two members this system adds to the standard
+/// ones: the outcome, and when to come back.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Problem {
+    /// Kind of the problem, a URI reference.
+    #[serde(rename = "type")]
+    pub kind: CompactString,
+    /// Short summary of the kind.
+    pub title: CompactString,
+    /// HTTP status.
+    pub status: u16,
+    /// What happened this time and what to do.
+    pub detail: String,
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// Seconds after which a repeat is useful, if one is.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub retry_after: Option<u64>,
+}
+
+impl Problem {
+    /// Media type of a problem document.
+    pub const MEDIA_TYPE: &'static str = "application/problem+json";
+
+    /// Creates a problem whose request did not run.
+    #[must_use]
+    pub fn not_run(status: u16, slug: &str, detail: impl Into<String>) -> Self {
+        Self {
+            kind: CompactString::from(format!("/problems/{slug}")),
+            title: CompactString::from(slug.replace('-', " ")),
+            status,
+            detail: detail.into(),
+            outcome: Outcome::NotRun,
+            retry_after: None,
+        }
+    }
+
+    /// Creates a problem whose request may have run.
+    #[must_use]
+    pub fn unknown(status: u16, slug: &str, detail: impl Into<String>) -> Self {
+        Self {
+            outcome: Outcome::Unknown,
+            ..Self::not_run(status, slug, detail)
+        }
+    }
+
+    /// Adds when to come back, rounded up to whole seconds.
+    #[must_use]
+    pub fn retry_after(mut self, delay: Duration) -> Self {
+        let rounded_up = delay.as_secs() + u64::from(delay.subsec_nanos() > 0);
+        self.retry_after = Some(rounded_up.max(1));
+        self
+    }
+}
