--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -99,11 +99,19 @@
 /// list contracts, their versions, and whether each is in force everywhere
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "list")]
+#[expect(
+    clippy::empty_structs_with_brackets,
+    reason = "argh derives only for structs with braces"
+)]
 pub struct ListArgs {}
 
 /// show a router, its neighbours, contracts and endpoints
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "status")]
+#[expect(
+    clippy::empty_structs_with_brackets,
+    reason = "argh derives only for structs with braces"
+)]
 pub struct StatusArgs {}
 
 /// show who changed which contract, when, and what differed
@@ -118,6 +126,10 @@
 /// ask a router to stop without cutting off a request
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "drain")]
+#[expect(
+    clippy::empty_structs_with_brackets,
+    reason = "argh derives only for structs with braces"
+)]
 pub struct DrainArgs {}
 
 /// digests of keys
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -4,17 +4,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hyper::Method;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
-use serde_json::Value;
-
 use briarhall_net::Call;
 use briarhall_net::Executor;
 use briarhall_net::HttpClient;
 use briarhall_net::HttpError;
 use briarhall_net::read_limited;
 use briarhall_types::Problem;
+use hyper::Method;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 use crate::args::Args;
 use crate::error::CommandError;
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -2,9 +2,8 @@
 
 use std::fs;
 
-use serde_json::Value;
-
 use briarhall_types::Digest;
+use serde_json::Value;
 
 use crate::args::Args;
 use crate::args::AuditArgs;
@@ -21,7 +20,7 @@
 /// # Errors
 ///
 /// Returns why it failed.
-pub fn run(args: Args) -> Result<(), CommandError> {
+pub fn run(args: &Args) -> Result<(), CommandError> {
     if args.version {
         println!("briarhall {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
@@ -31,10 +30,10 @@
         return Err(CommandError::Usage(usage.to_owned()));
     };
     match command {
-        Command::Contract(contract) => contracts::run(&args, &contract.command),
-        Command::Status(_) => status(&args),
-        Command::Audit(audit) => show_audit(&args, audit),
-        Command::Drain(_) => drain(&args),
+        Command::Contract(contract) => contracts::run(args, &contract.command),
+        Command::Status(_) => status(args),
+        Command::Audit(audit) => show_audit(args, audit),
+        Command::Drain(_) => drain(args),
         Command::Key(key) => match &key.command {
             KeyCommand::Digest(digest) => print_digest(digest),
         },
--- a/crates/cli/src/contracts.rs
+++ b/crates/cli/src/contracts.rs
@@ -1,12 +1,11 @@
 //! Commands on contracts.
 
+use briarhall_settings::read_contract;
+use briarhall_types::Contract;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
 
-use briarhall_settings::read_contract;
-use briarhall_types::Contract;
-
 use crate::args::ApplyArgs;
 use crate::args::Args;
 use crate::args::CheckArgs;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -3,11 +3,10 @@
 use std::io;
 use std::path::PathBuf;
 
-use thiserror::Error;
-
 use briarhall_net::HttpError;
 use briarhall_settings::Findings;
 use briarhall_types::Problem;
+use thiserror::Error;
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_BAD_INPUT: u8 = 2;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -18,7 +18,7 @@
 
 fn main() -> ExitCode {
     let args = argh::from_env::<Args>();
-    match commands::run(args) {
+    match commands::run(&args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("{e}");
--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -3,13 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use compact_str::CompactString;
-use hyper::Method;
-use hyper::Response;
-use hyper::StatusCode;
-use hyper::body::Incoming;
-
 use briarhall_net::Body;
 use briarhall_net::Call;
 use briarhall_net::HttpClient;
@@ -17,6 +10,12 @@
 use briarhall_net::read_limited;
 use briarhall_types::AttemptId;
 use briarhall_types::LoadReport;
+use bytes::Bytes;
+use compact_str::CompactString;
+use hyper::Method;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
 
 use crate::EngineError;
 use crate::EventStream;
--- a/crates/endpoint/src/error.rs
+++ b/crates/endpoint/src/error.rs
@@ -1,9 +1,8 @@
 //! What can go wrong towards an endpoint.
 
-use thiserror::Error;
-
 use briarhall_net::HttpError;
 use briarhall_net::Phase;
+use thiserror::Error;
 
 /// Whether the endpoint may have run the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/endpoint/src/service.rs
+++ b/crates/endpoint/src/service.rs
@@ -3,16 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::Method;
-use hyper::header::CONTENT_TYPE;
-
 use briarhall_net::Body;
 use briarhall_net::Call;
 use briarhall_net::HttpClient;
 use briarhall_net::HttpError;
 use briarhall_net::read_limited;
 use briarhall_net::timeout;
+use bytes::Bytes;
+use hyper::Method;
+use hyper::header::CONTENT_TYPE;
 
 const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
 
--- a/crates/endpoint/src/stream.rs
+++ b/crates/endpoint/src/stream.rs
@@ -5,14 +5,13 @@
 
 use std::time::Duration;
 
+use briarhall_net::timeout;
 use bytes::Buf;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use thiserror::Error;
 
-use briarhall_net::timeout;
-
 use crate::wire::Frame;
 
 const SEPARATOR: &[u8] = b"\n\n";
--- a/crates/lab/src/caller/addresses.rs
+++ b/crates/lab/src/caller/addresses.rs
@@ -9,9 +9,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use serde::Deserialize;
-
 use briarhall_net::Call;
+use serde::Deserialize;
 
 use super::Caller;
 
--- a/crates/lab/src/caller/completion.rs
+++ b/crates/lab/src/caller/completion.rs
@@ -4,13 +4,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
-use bytes::BytesMut;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use serde_json::Value;
-use serde_json::json;
-
 use briarhall_net::Body;
 use briarhall_net::Call;
 use briarhall_net::read_limited;
@@ -18,6 +11,12 @@
 use briarhall_standins::engine::token_text;
 use briarhall_types::Outcome;
 use briarhall_types::Problem;
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
 
 use super::Caller;
 use crate::site::MODEL;
--- a/crates/lab/src/caller/topup.rs
+++ b/crates/lab/src/caller/topup.rs
@@ -4,13 +4,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use serde_json::json;
-
 use briarhall_net::Call;
 use briarhall_net::read_limited;
 use briarhall_net::timeout;
 use briarhall_standins::service::Receipt;
 use briarhall_types::Outcome;
+use serde_json::json;
 
 use super::Caller;
 use crate::site::SERVICE;
--- a/crates/lab/src/counts.rs
+++ b/crates/lab/src/counts.rs
@@ -3,11 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use briarhall_types::LengthClass;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-use briarhall_types::LengthClass;
-
 use crate::caller::Answer;
 use crate::caller::TopUp;
 use crate::caller::TopUpVerdict;
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -3,8 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use serde::Serialize;
-
 use briarhall_lab::counts::Counts;
 use briarhall_lab::counts::Percentiles;
 use briarhall_lab::load::LoadSpec;
@@ -14,6 +12,7 @@
 use briarhall_lab::site::CustomerSpec;
 use briarhall_lab::site::Site;
 use briarhall_lab::site::SiteSpec;
+use serde::Serialize;
 
 use crate::args::DemoArgs;
 use crate::error::LabError;
--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -1,9 +1,8 @@
 //! Why a run of the lab failed.
 
-use thiserror::Error;
-
 use briarhall_lab::site::SiteError;
 use briarhall_net::SpawnThreadsError;
+use thiserror::Error;
 
 /// Says why a run failed.
 #[derive(Debug, Error)]
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -3,13 +3,12 @@
 
 use std::time::Duration;
 
+use briarhall_types::BYTES_PER_TOKEN;
+use briarhall_types::LengthClass;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use briarhall_types::BYTES_PER_TOKEN;
-use briarhall_types::LengthClass;
-
 /// Part of requests in each class, and its range of prompt lengths in tokens.
 const CLASSES: [ClassLoad; 4] = [
     ClassLoad::new(0.70, 1_000, 4_000),
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -4,13 +4,12 @@
 use std::time::Instant;
 
 use async_io::Timer;
-use futures::future::join_all;
-
 use briarhall_net::Executor;
 use briarhall_net::HttpClient;
 use briarhall_net::SpawnThreadsError;
 use briarhall_net::Threads;
 use briarhall_net::TimerRuntime;
+use futures::future::join_all;
 
 use crate::caller::AddressBook;
 use crate::caller::Caller;
--- a/crates/lab/src/site/error.rs
+++ b/crates/lab/src/site/error.rs
@@ -3,9 +3,8 @@
 use std::io;
 use std::path::PathBuf;
 
-use thiserror::Error;
-
 use briarhall_net::HttpError;
+use thiserror::Error;
 
 /// Says what went wrong with a site.
 #[derive(Debug, Error)]
--- a/crates/lab/src/site/mod.rs
+++ b/crates/lab/src/site/mod.rs
@@ -15,11 +15,6 @@
 use std::time::Instant;
 
 use async_io::Timer;
-use compact_str::CompactString;
-use serde::de::DeserializeOwned;
-use serde_json::Value;
-use serde_json::json;
-
 use briarhall_endpoint::wire::Ledger;
 use briarhall_net::Call;
 use briarhall_net::HttpClient;
@@ -29,6 +24,10 @@
 use briarhall_types::EndpointKind;
 use briarhall_types::EndpointRecord;
 use briarhall_types::EndpointState;
+use compact_str::CompactString;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use serde_json::json;
 
 pub use contracts::CustomerSpec;
 pub use contracts::contract_yaml;
@@ -319,21 +318,19 @@
     pub async fn start_router(&mut self, number: usize) -> Result<(), SiteError> {
         let before = self.routers.remove(&number);
         let name = format!("router-{number:02}");
-        let (mesh_proxy, platform_proxy, listen) = match before {
-            Some(mut router) => {
-                router.process.kill();
-                let listen = [router.callers, router.operators, router.mesh];
-                (router.mesh_proxy, router.platform_proxy, listen)
-            }
-            None => {
-                let platform = Some(self.platform_address);
-                let mesh_proxy = self.proxy(&format!("{name}-mesh"), None).await?;
-                let platform_proxy = self.proxy(&format!("{name}-platform"), platform).await?;
-                let free = SocketAddr::from(([127, 0, 0, 1], 0));
-                (mesh_proxy, platform_proxy, [free; 3])
-            }
+        let (mesh_proxy, platform_proxy, listen) = if let Some(mut router) = before {
+            router.process.kill();
+            let listen = [router.callers, router.operators, router.mesh];
+            (router.mesh_proxy, router.platform_proxy, listen)
+        } else {
+            let platform = Some(self.platform_address);
+            let mesh_proxy = self.proxy(&format!("{name}-mesh"), None).await?;
+            let platform_proxy = self.proxy(&format!("{name}-platform"), platform).await?;
+            let free = SocketAddr::from(([127, 0, 0, 1], 0));
+            (mesh_proxy, platform_proxy, [free; 3])
         };
-        let settings = self.router_settings(number, &mesh_proxy, &platform_proxy, listen);
+        let settings =
+            self.router_settings(number, mesh_proxy.as_ref(), platform_proxy.as_ref(), listen);
         let path = self.dir.join(format!("{name}.yaml"));
         process::write(&path, &settings)?;
         let args = ["--settings".to_owned(), path.display().to_string()];
@@ -359,16 +356,15 @@
     fn router_settings(
         &self,
         number: usize,
-        mesh_proxy: &Option<ProxiedAddress>,
-        platform_proxy: &Option<ProxiedAddress>,
+        mesh_proxy: Option<&ProxiedAddress>,
+        platform_proxy: Option<&ProxiedAddress>,
         [callers, operators, mesh]: [SocketAddr; 3],
     ) -> String {
         let platform = platform_proxy
             .as_ref()
             .map_or(self.platform_address, |p| p.carried);
-        let advertise = mesh_proxy
-            .as_ref()
-            .map_or_else(String::new, |p| format!("advertise_mesh: {}\n", p.carried));
+        let advertise =
+            mesh_proxy.map_or_else(String::new, |p| format!("advertise_mesh: {}\n", p.carried));
         let seeds = self.routers.values().map(|router| {
             let proxy = router.mesh_proxy.as_ref();
             let address = proxy.map_or(router.mesh, |proxy| proxy.carried);
--- a/crates/mesh/src/client.rs
+++ b/crates/mesh/src/client.rs
@@ -5,17 +5,16 @@
 use std::time::Instant;
 
 use async_net::TcpStream;
+use briarhall_net::Executor;
+use briarhall_net::timeout;
+use briarhall_policy::suspects::Notice;
+use briarhall_types::Digest;
 use tarpc::client::Config;
 use tarpc::client::RpcError;
 use tarpc::context;
 use tarpc::context::Context;
 use thiserror::Error;
 
-use briarhall_net::Executor;
-use briarhall_net::timeout;
-use briarhall_policy::suspects::Notice;
-use briarhall_types::Digest;
-
 use crate::ClaimReply;
 use crate::ClaimRequest;
 use crate::PullReply;
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -1,8 +1,5 @@
 //! What routers ask each other.
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use briarhall_policy::book::Update;
 use briarhall_policy::claims::Claim;
 use briarhall_policy::claims::ClaimId;
@@ -16,6 +13,8 @@
 use briarhall_types::Outcome;
 use briarhall_types::Revision;
 use briarhall_types::RouterName;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// Asks a router for news.
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -6,15 +6,14 @@
 use async_io::Timer;
 use async_net::TcpListener;
 use async_net::TcpStream;
-use futures::StreamExt;
-use tarpc::context::Context;
-use tarpc::server::BaseChannel;
-use tarpc::server::Channel;
-
 use briarhall_net::Executor;
 use briarhall_net::timeout;
 use briarhall_policy::suspects::Notice;
 use briarhall_types::Digest;
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
 
 use crate::ClaimReply;
 use crate::ClaimRequest;
--- a/crates/mesh/src/transport.rs
+++ b/crates/mesh/src/transport.rs
@@ -1,6 +1,7 @@
 //! Framed connections, opened with a proof that both ends know the secret.
 
 use async_net::TcpStream;
+use briarhall_types::Digest;
 use futures::AsyncReadExt;
 use futures::AsyncWriteExt;
 use serde::Deserialize;
@@ -11,8 +12,6 @@
 use tokio_util::compat::Compat;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
-use briarhall_types::Digest;
-
 const PROOF_BYTES: usize = 32;
 const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
--- a/crates/net/src/metrics.rs
+++ b/crates/net/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Metrics as StatsD datagrams.
+//! Metrics as `StatsD` datagrams.
 
 use std::io;
 use std::net::SocketAddr;
--- a/crates/net/src/reply.rs
+++ b/crates/net/src/reply.rs
@@ -1,5 +1,7 @@
 //! Replies in the forms the programs share.
 
+use briarhall_types::Outcome;
+use briarhall_types::Problem;
 use bytes::Bytes;
 use hyper::Response;
 use hyper::StatusCode;
@@ -8,9 +10,6 @@
 use hyper::header::RETRY_AFTER;
 use serde::Serialize;
 
-use briarhall_types::Outcome;
-use briarhall_types::Problem;
-
 use crate::Body;
 
 /// Replies with a JSON document.
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
+use briarhall_types::Revision;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use briarhall_types::Revision;
-
 use crate::Listing;
 use crate::Object;
 use crate::PlatformError;
@@ -84,6 +83,17 @@
     where
         T: DeserializeOwned + Send;
 
+    /// Takes a turn at the weight store for `bytes` bytes of `subject`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformError::Limited`] when it is not this caller's turn.
+    fn take_weights(
+        &self,
+        subject: &str,
+        bytes: u64,
+    ) -> impl Future<Output = Result<(), PlatformError>> + Send;
+
     /// Reads the list of VMs, which lags.
     ///
     /// # Errors
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use thiserror::Error;
-
 use briarhall_types::Revision;
+use thiserror::Error;
 
 /// Says why a call to the platform gave no result.
 #[derive(Debug, Error)]
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -3,13 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hyper::Method;
-use hyper::StatusCode;
-use hyper::header::RETRY_AFTER;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
-use serde_json::Value;
-
 use briarhall_net::Call;
 use briarhall_net::HttpClient;
 use briarhall_net::HttpError;
@@ -17,6 +10,12 @@
 use briarhall_net::read_limited;
 use briarhall_net::timeout;
 use briarhall_types::Revision;
+use hyper::Method;
+use hyper::StatusCode;
+use hyper::header::RETRY_AFTER;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 use crate::ConflictReply;
 use crate::Listing;
@@ -31,6 +30,12 @@
 const MAX_REPLY_BYTES: usize = 64 * 1024 * 1024;
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Body of a call to the weight store.
+#[derive(Debug, Serialize)]
+struct WeightCall {
+    bytes: u64,
+}
+
 /// Speaks the object API over HTTP.
 #[derive(Debug, Clone)]
 pub struct HttpObjectApi {
@@ -56,7 +61,11 @@
         T: DeserializeOwned,
     {
         let whole = async {
-            let reply = self.client.send(call, limit).await.map_err(from_http)?;
+            let reply = self
+                .client
+                .send(call, limit)
+                .await
+                .map_err(|e| from_http(&e))?;
             let code = reply.status();
             let retry_after = reply
                 .headers()
@@ -81,7 +90,7 @@
     }
 }
 
-fn from_http(e: HttpError) -> PlatformError {
+fn from_http(e: &HttpError) -> PlatformError {
     let reason = e.to_string();
     match e.phase() {
         Phase::BeforeSend => PlatformError::Unavailable { reason },
@@ -183,6 +192,12 @@
         self.call(call, wait + self.limit).await
     }
 
+    async fn take_weights(&self, subject: &str, bytes: u64) -> Result<(), PlatformError> {
+        let call = Call::post(self.address, format!("/v1/weights/{subject}"));
+        self.call(call.json(&WeightCall { bytes }), self.limit)
+            .await
+    }
+
     async fn vms(&self) -> Result<VmListing, PlatformError> {
         let call = Call::get(self.address, "/v1/vms");
         self.call(call, self.limit).await
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -1,12 +1,11 @@
 //! Objects and replies of the object API, as JSON documents.
 
+use briarhall_types::EndpointRecord;
+use briarhall_types::Revision;
 use compact_str::CompactString;
 use serde::Deserialize;
 use serde::Serialize;
 
-use briarhall_types::EndpointRecord;
-use briarhall_types::Revision;
-
 /// A versioned object.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Object<T> {
--- a/crates/policy/src/book/mod.rs
+++ b/crates/policy/src/book/mod.rs
@@ -10,13 +10,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use briarhall_types::Contract;
+use briarhall_types::Revision;
 use compact_str::CompactString;
 use serde::Deserialize;
 use serde::Serialize;
 
-use briarhall_types::Contract;
-use briarhall_types::Revision;
-
 use crate::members::Roster;
 
 pub use queries::InForce;
--- a/crates/policy/src/book/queries.rs
+++ b/crates/policy/src/book/queries.rs
@@ -2,12 +2,11 @@
 
 use std::sync::Arc;
 
-use compact_str::CompactString;
-use compact_str::format_compact;
-
 use briarhall_types::Contract;
 use briarhall_types::Digest;
 use briarhall_types::Revision;
+use compact_str::CompactString;
+use compact_str::format_compact;
 
 use super::Book;
 use super::CONTRACT_PREFIX;
--- a/crates/policy/src/claims/chain.rs
+++ b/crates/policy/src/claims/chain.rs
@@ -107,11 +107,10 @@
         }
         self.asked = Some(now);
         match &self.phase {
-            Phase::NotLoaded if self.waiting.is_empty() => Step::Idle,
-            Phase::NotLoaded => Step::Load,
             Phase::MustRead => Step::Read(self.next),
             Phase::Writing(_) => Step::Idle,
-            Phase::Ready if self.waiting.is_empty() => Step::Idle,
+            Phase::NotLoaded | Phase::Ready if self.waiting.is_empty() => Step::Idle,
+            Phase::NotLoaded => Step::Load,
             Phase::Ready => self.write(now_ms),
         }
     }
--- a/crates/policy/src/claims/mod.rs
+++ b/crates/policy/src/claims/mod.rs
@@ -16,14 +16,13 @@
 
 use std::time::Duration;
 
+use briarhall_types::Digest;
+use briarhall_types::RouterName;
 use compact_str::CompactString;
 use serde::Deserialize;
 use serde::Serialize;
 use uuid::Uuid;
 
-use briarhall_types::Digest;
-use briarhall_types::RouterName;
-
 pub use chain::Chain;
 pub use chain::Decided;
 pub use chain::Step;
--- a/crates/policy/src/duty.rs
+++ b/crates/policy/src/duty.rs
@@ -8,12 +8,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use briarhall_types::Revision;
 use compact_str::CompactString;
 use serde::Deserialize;
 use serde::Serialize;
 
-use briarhall_types::Revision;
-
 /// How often a holder renews.
 pub const RENEW_EVERY: Duration = Duration::from_millis(700);
 /// A holder gives no order this long after its last renewal began.
--- a/crates/policy/src/fleet/commands.rs
+++ b/crates/policy/src/fleet/commands.rs
@@ -7,11 +7,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use slotmap::SlotMap;
-
 use briarhall_types::EndpointName;
 use briarhall_types::EndpointRecord;
 use briarhall_types::LoadReport;
+use slotmap::SlotMap;
 
 use super::Attempt;
 use super::AttemptKey;
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -17,17 +17,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use briarhall_types::EndpointName;
+use briarhall_types::EndpointRecord;
+use briarhall_types::LoadReport;
+use briarhall_types::Objective;
 use compact_str::CompactString;
 use serde::Deserialize;
 use serde::Serialize;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
-use briarhall_types::EndpointName;
-use briarhall_types::EndpointRecord;
-use briarhall_types::LoadReport;
-use briarhall_types::Objective;
-
 pub use estimate::Load;
 pub use lanes::LANE_BORDER_TOKENS;
 pub use lanes::Lanes;
--- a/crates/policy/src/fleet/queries.rs
+++ b/crates/policy/src/fleet/queries.rs
@@ -3,14 +3,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rand::Rng;
-use rand::RngExt;
-use thiserror::Error;
-
 use briarhall_types::EndpointKind;
 use briarhall_types::EndpointRecord;
 use briarhall_types::EndpointState;
 use briarhall_types::Objective;
+use rand::Rng;
+use rand::RngExt;
+use thiserror::Error;
 
 use super::Endpoint;
 use super::EndpointKey;
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -3,11 +3,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use briarhall_types::CallLimits;
 use serde::Deserialize;
 use serde::Serialize;
 
-use briarhall_types::CallLimits;
-
 /// Why a request is over its limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OverLimit {
--- a/crates/policy/src/members/commands.rs
+++ b/crates/policy/src/members/commands.rs
@@ -4,11 +4,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use briarhall_types::RouterName;
 use serde::Deserialize;
 use serde::Serialize;
 
-use briarhall_types::RouterName;
-
 use super::Heartbeat;
 use super::Known;
 use super::Members;
--- a/crates/policy/src/members/mod.rs
+++ b/crates/policy/src/members/mod.rs
@@ -20,12 +20,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use briarhall_types::Revision;
 use briarhall_types::RouterName;
 use briarhall_types::ZoneName;
+use serde::Deserialize;
+use serde::Serialize;
 
 pub use commands::PullAnswer;
 pub use commands::RelayedHeartbeat;
--- a/crates/policy/src/members/queries.rs
+++ b/crates/policy/src/members/queries.rs
@@ -108,12 +108,13 @@
     #[must_use]
     pub fn roster_change(&self, roster: &Roster, started: Instant, now: Instant) -> Option<Roster> {
         let first = self.serving(now).find(|h| roster.contains(&h.router));
-        match first {
-            Some(heartbeat) if heartbeat.router != self.me => return None,
-            Some(_) => {}
+        let is_first = match first {
+            Some(heartbeat) => heartbeat.router == self.me,
             // Members may be about to be heard for the first time.
-            None if !roster.members.is_empty() && now < started + JOIN_ALONE_AFTER => return None,
-            None => {}
+            None => roster.members.is_empty() || now >= started + JOIN_ALONE_AFTER,
+        };
+        if !is_first {
+            return None;
         }
         let joining = self.serving(now).filter(|h| !roster.contains(&h.router));
         let joining = joining.map(member).collect::<Vec<_>>();
--- a/crates/policy/src/members/roster.rs
+++ b/crates/policy/src/members/roster.rs
@@ -6,11 +6,10 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use briarhall_types::RouterName;
 use briarhall_types::ZoneName;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// One router on the roster. A restarted process is another member.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -69,7 +68,11 @@
     {
         let side =
             |members: &[Member]| is_majority(members, &holds) || self.all_left(members, &holds);
-        side(&self.members) && (self.previous.is_empty() || side(&self.previous))
+        // A router that has not read the roster yet must not take its own word
+        // for everyone's.
+        !self.members.is_empty()
+            && side(&self.members)
+            && (self.previous.is_empty() || side(&self.previous))
     }
 
     fn all_left<F>(&self, members: &[Member], holds: &F) -> bool
--- a/crates/policy/src/sharer.rs
+++ b/crates/policy/src/sharer.rs
@@ -15,13 +15,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use compact_str::CompactString;
-use serde::Deserialize;
-use serde::Serialize;
-
 use briarhall_types::CallLimits;
 use briarhall_types::CustomerName;
 use briarhall_types::RouterName;
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::limits::Share;
 
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -11,11 +11,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use briarhall_types::Digest;
 use serde::Deserialize;
 use serde::Serialize;
 
-use briarhall_types::Digest;
-
 /// How long a verdict is remembered.
 pub const REMEMBER_FOR: Duration = Duration::from_mins(10);
 
--- /dev/null
+++ b/crates/policy/tests/claims.rs
@@ -0,0 +1,329 @@
+//! Claims: routers that write one chain through a store that loses answers,
+//! applies writes late and forgets old segments, against an oracle that counts
+//! runs of each key.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use bolero::TypeGenerator;
+use briarhall_policy::claims::Chain;
+use briarhall_policy::claims::Claim;
+use briarhall_policy::claims::ClaimId;
+use briarhall_policy::claims::Decided;
+use briarhall_policy::claims::Segment;
+use briarhall_policy::claims::SegmentNumber;
+use briarhall_policy::claims::Step;
+use briarhall_policy::claims::Verdict;
+use briarhall_policy::claims::window_start;
+use briarhall_types::Digest;
+use compact_str::format_compact;
+
+const ROUTERS: usize = 3;
+const KEYS: u8 = 4;
+const WINDOW: Duration = Duration::from_mins(10);
+/// Claims are kept this much longer than a contract's window.
+const MARGIN: Duration = Duration::from_mins(1);
+/// A listing misses what was written this lately, at the most.
+const STALENESS: Duration = Duration::from_secs(5);
+
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+enum Fate {
+    Answered,
+    LostAfterEffect,
+    LostBeforeEffect,
+    AppliedLate,
+    Unavailable,
+}
+
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+enum Op {
+    /// A caller sends a key to a router.
+    Claim { router: u8, key: u8 },
+    /// A router looks what to do; a write goes out.
+    Step { router: u8 },
+    /// What went out arrives and is answered, or not.
+    Deliver { router: u8, fate: Fate },
+    /// A write of unknown fate takes effect after all.
+    ApplyLate,
+    /// A router gives up claims that wait, and promises never to send them.
+    GiveUp { router: u8 },
+    /// Time passes, in seconds.
+    Advance { seconds: u8 },
+    /// A lot of time passes, in minutes.
+    AdvanceMinutes { minutes: u8 },
+    /// A router deletes what is old.
+    Trim { router: u8 },
+}
+
+#[derive(Debug, Default)]
+struct Router {
+    chain: Chain,
+    sent: Option<Step>,
+}
+
+#[derive(Debug)]
+struct Run {
+    claim: ClaimId,
+    at: Duration,
+}
+
+struct World {
+    start: Instant,
+    now: Duration,
+    store: BTreeMap<SegmentNumber, (Duration, Segment)>,
+    late: Vec<(SegmentNumber, Segment)>,
+    routers: Vec<Router>,
+    claims: HashMap<ClaimId, Claim>,
+    abandoned: HashSet<ClaimId>,
+    runs: HashMap<Digest, Vec<Run>>,
+    next_id: u128,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            now: Duration::from_hours(1),
+            store: BTreeMap::new(),
+            late: Vec::new(),
+            routers: (0..ROUTERS).map(|_| Router::default()).collect(),
+            claims: HashMap::new(),
+            abandoned: HashSet::new(),
+            runs: HashMap::new(),
+            next_id: 1,
+        }
+    }
+
+    fn instant(&self) -> Instant {
+        self.start + self.now
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.now.as_millis()).unwrap()
+    }
+
+    fn apply(&mut self, op: Op) {
+        match op {
+            Op::Claim { router, key } => {
+                self.claim(usize::from(router) % ROUTERS, key % KEYS, None)
+            }
+            Op::Step { router } => self.step(usize::from(router) % ROUTERS),
+            Op::Deliver { router, fate } => self.deliver(usize::from(router) % ROUTERS, fate),
+            Op::ApplyLate => {
+                if let Some((number, segment)) = self.late.pop() {
+                    self.create(number, segment);
+                }
+            }
+            Op::GiveUp { router } => {
+                let router = &mut self.routers[usize::from(router) % ROUTERS];
+                self.abandoned.extend(router.chain.give_up(|_| true));
+            }
+            Op::Advance { seconds } => self.now += Duration::from_secs(u64::from(seconds)),
+            Op::AdvanceMinutes { minutes } => self.now += Duration::from_mins(u64::from(minutes)),
+            Op::Trim { router } => self.trim(usize::from(router) % ROUTERS),
+        }
+    }
+
+    fn claim(&mut self, router: usize, key: u8, instead_of: Option<ClaimId>) {
+        let key = Digest::of(&[key]);
+        let id = ClaimId::from_u128(self.next_id);
+        self.next_id += 1;
+        let claim = Claim {
+            id,
+            key,
+            request: key,
+            holder: format_compact!("router-{router}"),
+            instead_of,
+        };
+        self.claims.insert(id, claim.clone());
+        if let Some(verdict) = self.routers[router].chain.submit(claim) {
+            self.decided(&[Decided { id, verdict }]);
+        }
+    }
+
+    fn step(&mut self, router: usize) {
+        let (instant, now_ms) = (self.instant(), self.now_ms());
+        let router = &mut self.routers[router];
+        if router.sent.is_none() {
+            let step = router.chain.step(instant, now_ms);
+            router.sent = (step != Step::Idle).then_some(step);
+        }
+    }
+
+    fn deliver(&mut self, router: usize, fate: Fate) {
+        let Some(step) = self.routers[router].sent.take() else {
+            return;
+        };
+        let decided = match step {
+            Step::Idle => Vec::new(),
+            Step::Load => {
+                let segments = self.listing(fate);
+                self.routers[router].chain.loaded(segments)
+            }
+            Step::Write(number, segment) => self.write(router, number, segment, fate),
+            Step::Read(number) => match self.store.get(&number) {
+                Some((_, segment)) => self.routers[router].chain.read(segment),
+                None => {
+                    self.routers[router].chain.absent();
+                    Vec::new()
+                }
+            },
+        };
+        self.decided(&decided);
+    }
+
+    /// Any fate but a plain answer makes the listing stale.
+    fn listing(&self, fate: Fate) -> Vec<(SegmentNumber, Segment)> {
+        let stale = !matches!(fate, Fate::Answered);
+        let shown = |at: Duration| !stale || at + STALENESS <= self.now;
+        let segments = self.store.iter().filter(|(_, (at, _))| shown(*at));
+        segments.map(|(n, (_, s))| (*n, s.clone())).collect()
+    }
+
+    fn write(
+        &mut self,
+        router: usize,
+        number: SegmentNumber,
+        segment: Segment,
+        fate: Fate,
+    ) -> Vec<Decided> {
+        let instant = self.instant();
+        match fate {
+            Fate::Answered => {
+                let created = self.create(number, segment);
+                let chain = &mut self.routers[router].chain;
+                if created {
+                    return chain.written(instant);
+                }
+                chain.refused();
+            }
+            Fate::LostAfterEffect => {
+                self.create(number, segment);
+                self.routers[router].chain.unsure();
+            }
+            Fate::LostBeforeEffect => self.routers[router].chain.unsure(),
+            Fate::AppliedLate => {
+                self.late.push((number, segment));
+                self.routers[router].chain.unsure();
+            }
+            Fate::Unavailable => self.routers[router].chain.not_written(),
+        }
+        Vec::new()
+    }
+
+    fn create(&mut self, number: SegmentNumber, segment: Segment) -> bool {
+        if self.store.contains_key(&number) {
+            return false;
+        }
+        self.store.insert(number, (self.now, segment));
+        true
+    }
+
+    fn trim(&mut self, router: usize) {
+        let start = window_start(self.now_ms(), WINDOW + MARGIN);
+        for number in self.routers[router].chain.forget_before(start) {
+            self.store.remove(&number);
+        }
+    }
+
+    fn decided(&mut self, decided: &[Decided]) {
+        for Decided { id, verdict } in decided {
+            match verdict {
+                Verdict::Granted if !self.abandoned.contains(id) => self.run(*id),
+                Verdict::Granted | Verdict::Void => {
+                    self.abandoned.insert(*id);
+                }
+                Verdict::Taken(current) => {
+                    self.abandoned.insert(*id);
+                    if self.abandoned.contains(&current.id) {
+                        self.claim_again(*id, current.id);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The holder of the claim that stands promised never to send it.
+    fn claim_again(&mut self, id: ClaimId, instead_of: ClaimId) {
+        let claim = self.claims[&id].clone();
+        let key = (0..KEYS)
+            .find(|key| Digest::of(&[*key]) == claim.key)
+            .unwrap();
+        let router = claim.holder.trim_start_matches("router-").parse().unwrap();
+        self.claim(router, key, Some(instead_of));
+    }
+
+    fn run(&mut self, claim: ClaimId) {
+        let key = self.claims[&claim].key;
+        let runs = self.runs.entry(key).or_default();
+        let now = self.now;
+        let again = runs
+            .iter()
+            .find(|run| run.claim != claim && run.at + WINDOW > now);
+        assert!(
+            again.is_none(),
+            "{key:?} runs twice: {again:?} and {claim} at {now:?}"
+        );
+        runs.push(Run { claim, at: now });
+    }
+}
+
+fn check(ops: &[Op]) {
+    let mut world = World::new();
+    for op in ops {
+        world.apply(*op);
+    }
+}
+
+macro_rules! runs_at_most_once {
+    ($name:ident, $len:expr) => {
+        #[test]
+        fn $name() {
+            bolero::check!()
+                .with_generator(bolero::produce::<Vec<Op>>().with().len($len))
+                .for_each(|ops| check(ops));
+        }
+    };
+}
+
+runs_at_most_once!(short_histories, 0_usize..40);
+runs_at_most_once!(long_histories, 100_usize..400);
+
+/// A router that kept the chain's place while others went on and forgot what
+/// it knew must not find its old number free and take that for a grant.
+#[test]
+fn a_number_freed_by_trimming_grants_nothing() {
+    let both = |world: &mut World, router: u8| {
+        world.apply(Op::Step { router });
+        world.apply(Op::Deliver {
+            router,
+            fate: Fate::Answered,
+        });
+    };
+    let mut world = World::new();
+    world.apply(Op::Claim { router: 0, key: 0 });
+    both(&mut world, 0);
+    both(&mut world, 0);
+    // Router 0 is paused with a write on the way.
+    world.apply(Op::Claim { router: 0, key: 1 });
+    world.apply(Op::Step { router: 0 });
+    for key in [2, 3] {
+        world.apply(Op::Claim { router: 1, key });
+        both(&mut world, 1);
+        both(&mut world, 1);
+        world.apply(Op::AdvanceMinutes { minutes: 6 });
+    }
+    world.apply(Op::Claim { router: 1, key: 1 });
+    both(&mut world, 1);
+    both(&mut world, 1);
+    world.apply(Op::AdvanceMinutes { minutes: 6 });
+    world.apply(Op::Trim { router: 1 });
+    world.apply(Op::Deliver {
+        router: 0,
+        fate: Fate::Answered,
+    });
+    assert_eq!(world.runs[&Digest::of(&[1])].len(), 1);
+}
--- a/crates/router/src/args.rs
+++ b/crates/router/src/args.rs
@@ -3,7 +3,6 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-
 use briarhall_settings::RouterSettings;
 use briarhall_settings::read_router_settings;
 
--- a/crates/router/src/control/admit.rs
+++ b/crates/router/src/control/admit.rs
@@ -3,8 +3,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use compact_str::format_compact;
-
 use briarhall_policy::book::InForce;
 use briarhall_policy::limits::LimitRefusal;
 use briarhall_policy::limits::OverLimit;
@@ -15,6 +13,7 @@
 use briarhall_types::CallLimits;
 use briarhall_types::Digest;
 use briarhall_types::Problem;
+use compact_str::format_compact;
 
 use super::AdmitCall;
 use super::Admitted;
--- a/crates/router/src/control/dispatch.rs
+++ b/crates/router/src/control/dispatch.rs
@@ -3,7 +3,6 @@
 use std::time::Instant;
 
 use async_channel::Receiver;
-
 use briarhall_types::EndpointKind;
 
 use super::Control;
@@ -30,7 +29,7 @@
             Msg::Claim(claim, until, reply) => self.claim(claim, until, reply),
             Msg::ClaimWriter(key, reply) => reply.send(self.claim_writer(&key, now)),
             Msg::ClaimRuns(claim) => self.results.runs(claim),
-            Msg::ClaimEnded(claim, result) => self.results.ended(claim, result),
+            Msg::ClaimEnded(claim, result) => self.results.ended(claim, &result),
             Msg::ClaimResult(claim, reply) => self.results.wait(&claim, reply),
             Msg::Customer(key, reply) => {
                 let contract = self.book.by_key(&key);
@@ -91,7 +90,7 @@
             }
             Msg::Load(name, report) => self.fleet.report(&name, report, now),
             Msg::SharePlans(reply) => reply.send(self.share_plans(now)),
-            Msg::Share(req, reply) => reply.send(self.share(req, now)),
+            Msg::Share(req, reply) => reply.send(self.share(&req, now)),
             Msg::Granted(grants, asked) => self.granted(grants, asked, now),
             Msg::Status(reply) => reply.send(self.status(now)),
             Msg::Drain => {
--- a/crates/router/src/control/gossip.rs
+++ b/crates/router/src/control/gossip.rs
@@ -4,11 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use rand::seq::SliceRandom;
-
 use briarhall_mesh::PullReply;
 use briarhall_mesh::PullRequest;
 use briarhall_policy::members::Heartbeat;
+use rand::seq::SliceRandom;
 
 use super::Control;
 use super::messages::PullPlan;
--- a/crates/router/src/control/messages.rs
+++ b/crates/router/src/control/messages.rs
@@ -6,8 +6,6 @@
 use std::time::Instant;
 
 use async_channel::Sender;
-use compact_str::CompactString;
-
 use briarhall_mesh::HeldResult;
 use briarhall_mesh::PullReply;
 use briarhall_mesh::PullRequest;
@@ -38,6 +36,7 @@
 use briarhall_types::Revision;
 use briarhall_types::RouterName;
 use briarhall_types::ZoneName;
+use compact_str::CompactString;
 
 use super::Status;
 use super::TicketKey;
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -24,10 +24,6 @@
 use std::time::Instant;
 
 use async_channel::Sender;
-use rand::rngs::SmallRng;
-use slotmap::SlotMap;
-use slotmap::new_key_type;
-
 use briarhall_net::Metrics;
 use briarhall_policy::book::Book;
 use briarhall_policy::claims::Chain;
@@ -43,6 +39,9 @@
 use briarhall_policy::suspects::Notice;
 use briarhall_policy::suspects::Suspects;
 use briarhall_settings::RouterSettings;
+use rand::rngs::SmallRng;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
 
 use crate::identity::Identity;
 
--- a/crates/router/src/control/results.rs
+++ b/crates/router/src/control/results.rs
@@ -33,7 +33,7 @@
     }
 
     /// A claimed request has ended.
-    pub fn ended(&mut self, claim: ClaimId, result: HeldResult) {
+    pub fn ended(&mut self, claim: ClaimId, result: &HeldResult) {
         let before = self.states.insert(claim, State::Ended(result.clone()));
         if let Some(State::Running(waiters)) = before {
             for waiter in waiters {
--- a/crates/router/src/control/route.rs
+++ b/crates/router/src/control/route.rs
@@ -157,7 +157,7 @@
     let detail = "the queue is longer than the request's time limit";
     let problem = Problem::not_run(503, "overloaded", detail);
     Err(NoRoute::Refused(
-        problem.retry_after(first_token - time_left),
+        problem.retry_after(first_token.checked_sub(time_left).unwrap()),
     ))
 }
 
--- a/crates/router/src/control/shares.rs
+++ b/crates/router/src/control/shares.rs
@@ -119,7 +119,7 @@
         self.members.heartbeat(sharer).map(|h| h.mesh_address)
     }
 
-    pub(super) fn share(&mut self, req: ShareRequest, now: Instant) -> ShareReply {
+    pub(super) fn share(&mut self, req: &ShareRequest, now: Instant) -> ShareReply {
         let routers = self.sharing_routers();
         let mut grants = Vec::new();
         for demand in &req.demands {
--- a/crates/router/src/control/status.rs
+++ b/crates/router/src/control/status.rs
@@ -2,8 +2,6 @@
 
 use std::time::Instant;
 
-use serde::Serialize;
-
 use briarhall_policy::members::Standing;
 use briarhall_types::CustomerName;
 use briarhall_types::EndpointName;
@@ -11,6 +9,7 @@
 use briarhall_types::Revision;
 use briarhall_types::RouterName;
 use briarhall_types::ZoneName;
+use serde::Serialize;
 
 use super::Control;
 
--- a/crates/router/src/control/tasks.rs
+++ b/crates/router/src/control/tasks.rs
@@ -8,9 +8,6 @@
 
 use async_channel::Receiver;
 use async_io::Timer;
-use futures::future::join_all;
-use serde_json::Value;
-
 use briarhall_endpoint::EngineClient;
 use briarhall_mesh::MeshPeer;
 use briarhall_mesh::ShareReply;
@@ -31,6 +28,8 @@
 use briarhall_policy::claims::segment_number;
 use briarhall_types::EndpointName;
 use briarhall_types::Revision;
+use futures::future::join_all;
+use serde_json::Value;
 
 use super::ChainEvent;
 use super::ControlHandle;
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -3,12 +3,11 @@
 use std::io;
 use std::net::SocketAddr;
 
-use thiserror::Error;
-
 use briarhall_net::LogError;
 use briarhall_net::MetricsError;
 use briarhall_net::SpawnThreadsError;
 use briarhall_settings::Findings;
+use thiserror::Error;
 
 /// Says why a router could not start.
 #[derive(Debug, Error)]
--- a/crates/router/src/identity.rs
+++ b/crates/router/src/identity.rs
@@ -2,12 +2,11 @@
 
 use std::net::SocketAddr;
 
-use compact_str::CompactString;
-use compact_str::format_compact;
-
 use briarhall_types::RouterName;
 use briarhall_types::ZoneName;
 use briarhall_types::new_id;
+use compact_str::CompactString;
+use compact_str::format_compact;
 
 /// Name and addresses of this router.
 #[derive(Debug, Clone)]
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -42,7 +42,7 @@
     let Some(settings) = args.checked_settings()? else {
         return Ok(());
     };
-    start::run(settings)
+    start::run(&settings)
 }
 
 fn exit_code(e: &StartError) -> ExitCode {
--- a/crates/router/src/operator/apply.rs
+++ b/crates/router/src/operator/apply.rs
@@ -4,15 +4,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use compact_str::CompactString;
-use compact_str::format_compact;
-use hyper::Request;
-use hyper::Response;
-use hyper::StatusCode;
-use hyper::body::Incoming;
-use serde::Deserialize;
-use serde::Serialize;
-
 use briarhall_net::Body;
 use briarhall_net::json;
 use briarhall_platform::ObjectApi;
@@ -26,6 +17,14 @@
 use briarhall_types::Problem;
 use briarhall_types::Revision;
 use briarhall_types::new_id;
+use compact_str::CompactString;
+use compact_str::format_compact;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde::Serialize;
 
 use super::Operators;
 use crate::control::AppliedWait;
@@ -132,20 +131,17 @@
     async fn settle(&self, change: &Change, name: &str) -> Result<Revision, Problem> {
         for _ in 0..SETTLE_TRIES {
             async_io::Timer::after(SETTLE_PAUSE).await;
-            match self.platform.get::<ConfigValue>(CONFIG_KIND, name).await {
-                Ok(object) => {
-                    let is_ours = matches!(
-                        &object.value,
-                        ConfigValue::Contract(record) if record.change == change.id
-                    );
-                    if is_ours {
-                        return Ok(object.version);
-                    }
-                    if Some(object.version) > change.from_version {
-                        return Err(overtaken(Some(object.version)));
-                    }
+            if let Ok(object) = self.platform.get::<ConfigValue>(CONFIG_KIND, name).await {
+                let is_ours = matches!(
+                    &object.value,
+                    ConfigValue::Contract(record) if record.change == change.id
+                );
+                if is_ours {
+                    return Ok(object.version);
+                }
+                if Some(object.version) > change.from_version {
+                    return Err(overtaken(Some(object.version)));
                 }
-                Err(PlatformError::NotFound | _) => {}
             }
         }
         let detail = "the platform did not answer; the change may have been written, look with `briarhall contract diff`";
--- a/crates/router/src/operator/audit.rs
+++ b/crates/router/src/operator/audit.rs
@@ -3,14 +3,6 @@
 
 use std::time::SystemTime;
 
-use compact_str::CompactString;
-use hyper::Response;
-use hyper::StatusCode;
-use serde::Deserialize;
-use serde::Serialize;
-use serde_json::Map;
-use serde_json::Value;
-
 use briarhall_net::Body;
 use briarhall_net::json;
 use briarhall_platform::ObjectApi;
@@ -18,6 +10,13 @@
 use briarhall_types::CustomerName;
 use briarhall_types::Problem;
 use briarhall_types::Revision;
+use compact_str::CompactString;
+use hyper::Response;
+use hyper::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Map;
+use serde_json::Value;
 
 use super::Operators;
 use super::apply::Change;
--- a/crates/router/src/operator/mod.rs
+++ b/crates/router/src/operator/mod.rs
@@ -6,14 +6,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use compact_str::CompactString;
-use hyper::Method;
-use hyper::Request;
-use hyper::Response;
-use hyper::StatusCode;
-use hyper::body::Incoming;
-use serde::Serialize;
-
 use briarhall_net::Body;
 use briarhall_net::Handler;
 use briarhall_net::json;
@@ -24,6 +16,13 @@
 use briarhall_types::Contract;
 use briarhall_types::Problem;
 use briarhall_types::Revision;
+use compact_str::CompactString;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use serde::Serialize;
 
 use crate::control::ControlHandle;
 use crate::control::Msg;
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -11,14 +11,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_channel::Receiver;
 use async_io::Timer;
 use async_net::TcpListener;
 use async_signal::Signal;
 use async_signal::Signals;
-use futures_lite::StreamExt;
-use futures_lite::future;
-use serde::Serialize;
-
 use briarhall_endpoint::EngineClient;
 use briarhall_endpoint::ServiceClient;
 use briarhall_mesh::serve_mesh;
@@ -33,9 +30,13 @@
 use briarhall_net::serve;
 use briarhall_platform::HttpObjectApi;
 use briarhall_settings::RouterSettings;
+use futures_lite::StreamExt;
+use futures_lite::future;
+use serde::Serialize;
 
 use crate::control::Control;
 use crate::control::ControlHandle;
+use crate::control::Kick;
 use crate::control::Msg;
 use crate::control::tasks::TaskContext;
 use crate::error::StartError;
@@ -57,6 +58,16 @@
     mesh: TcpListener,
 }
 
+impl Listeners {
+    fn open(settings: &RouterSettings) -> Result<Self, StartError> {
+        Ok(Self {
+            callers: open("callers", settings.callers)?,
+            operators: open("operators", settings.operators)?,
+            mesh: open("mesh", settings.mesh)?,
+        })
+    }
+}
+
 /// One line on standard output, for whoever started this router.
 #[derive(Debug, Serialize)]
 struct Ready<'a> {
@@ -71,78 +82,112 @@
 /// # Errors
 ///
 /// Returns an error when it cannot start.
-pub fn run(settings: RouterSettings) -> Result<(), StartError> {
+pub fn run(settings: &RouterSettings) -> Result<(), StartError> {
     let _logging = Logging::start(&settings.log)?;
     let metrics = Metrics::start("briarhall.router", settings.metrics_address)?;
     let timers = TimerRuntime::start()?;
-    let listeners = Listeners {
-        callers: open("callers", settings.callers)?,
-        operators: open("operators", settings.operators)?,
-        mesh: open("mesh", settings.mesh)?,
-    };
-    let traffic_executor = Executor::default();
-    Threads::start(
-        "traffic",
-        settings.traffic_threads,
-        &traffic_executor,
-        &timers,
-    )?;
-    let me = identity(&settings, &listeners)?;
-    let (control, rx) = ControlHandle::new();
-    let control_executor = Executor::default();
-    let peers = Peers::new(settings.mesh_secret, control_executor.clone());
-    let client = HttpClient::new(control_executor.clone());
-    let platform = HttpObjectApi::new(client.clone(), settings.platform, settings.platform_limit);
-    let cx = TaskContext {
-        control: control.clone(),
-        platform,
-        peers: peers.clone(),
+    let listeners = Listeners::open(settings)?;
+    let me = identity(settings, &listeners)?;
+    let (control, messages) = ControlHandle::new();
+    let cx = task_context(settings, control);
+    let state = control_state(&me, settings, &metrics);
+    start_control(&cx, state, messages, &timers)?;
+    let executor = Executor::default();
+    Threads::start("traffic", settings.traffic_threads, &executor, &timers)?;
+    let traffic = traffic(&me, settings, &cx, executor, metrics);
+    let draining = Arc::clone(&traffic.draining);
+    announce(&me, &listeners);
+    let drained = serve_all(listeners, settings, &cx, traffic);
+    let signals = Signals::new([Signal::Term, Signal::Int]).map_err(StartError::Signals)?;
+    async_io::block_on(async {
+        told_to_stop(signals, drained).await;
+        stop(&cx.control, &draining, settings.address_ttl).await;
+    });
+    Ok(())
+}
+
+fn task_context(settings: &RouterSettings, control: ControlHandle) -> TaskContext<HttpObjectApi> {
+    let executor = Executor::default();
+    let client = HttpClient::new(executor.clone());
+    TaskContext {
+        control,
+        platform: HttpObjectApi::new(client.clone(), settings.platform, settings.platform_limit),
+        peers: Peers::new(settings.mesh_secret, executor.clone()),
         engines: EngineClient::new(client),
-        executor: control_executor.clone(),
+        executor,
+    }
+}
+
+struct ControlState {
+    control: Control,
+    kicks: Receiver<Kick>,
+}
+
+fn control_state(me: &Identity, settings: &RouterSettings, metrics: &Metrics) -> ControlState {
+    let (tx, kicks) = async_channel::unbounded();
+    let now = Instant::now();
+    let control = Control::new(me.clone(), settings.clone(), metrics.clone(), tx, now);
+    ControlState { control, kicks }
+}
+
+fn start_control(
+    cx: &TaskContext<HttpObjectApi>,
+    state: ControlState,
+    messages: Receiver<Msg>,
+    timers: &Arc<TimerRuntime>,
+) -> Result<(), StartError> {
+    let cx = cx.clone();
+    let timers = Arc::clone(timers);
+    let run = move || {
+        cx.start(state.kicks);
+        timers.block_on(&cx.executor, state.control.run(messages));
+        // Without its control state the router must not go on.
+        process::abort();
     };
-    let (kicks, kicked) = async_channel::unbounded();
-    let state = Control::new(
-        me.clone(),
-        settings.clone(),
-        metrics.clone(),
-        kicks,
-        Instant::now(),
-    );
-    let control_timers = Arc::clone(&timers);
-    let control_tasks = cx.clone();
-    thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || {
-            control_tasks.start(kicked);
-            control_timers.block_on(&control_executor, state.run(rx));
-            // Without its control state the router must not go on.
-            process::abort();
-        })
-        .map_err(StartError::ControlThread)?;
-    let draining = Arc::new(AtomicBool::new(false));
-    let traffic_client = HttpClient::new(traffic_executor.clone());
-    let traffic = Traffic {
+    let thread = thread::Builder::new().name("control".to_owned()).spawn(run);
+    thread.map_err(StartError::ControlThread)?;
+    Ok(())
+}
+
+fn traffic(
+    me: &Identity,
+    settings: &RouterSettings,
+    cx: &TaskContext<HttpObjectApi>,
+    executor: Executor,
+    metrics: Metrics,
+) -> Traffic {
+    let client = HttpClient::new(executor.clone());
+    Traffic {
         router: me.name.clone(),
-        control: control.clone(),
-        engines: EngineClient::new(traffic_client.clone()),
-        services: ServiceClient::new(traffic_client),
-        peers: peers.clone(),
-        executor: traffic_executor.clone(),
+        control: cx.control.clone(),
+        engines: EngineClient::new(client.clone()),
+        services: ServiceClient::new(client),
+        peers: cx.peers.clone(),
+        executor,
         address_ttl: settings.address_ttl,
-        draining: Arc::clone(&draining),
+        draining: Arc::new(AtomicBool::new(false)),
         metrics,
-    };
+    }
+}
+
+/// Serves callers on the traffic threads, and operators and other routers on
+/// the control thread. Returns where an operator's order to stop arrives.
+fn serve_all(
+    listeners: Listeners,
+    settings: &RouterSettings,
+    cx: &TaskContext<HttpObjectApi>,
+    traffic: Traffic,
+) -> Receiver<()> {
     let (drain, drained) = async_channel::bounded(1);
     let operators = Operators {
-        control: control.clone(),
+        control: cx.control.clone(),
         platform: cx.platform.clone(),
         keys: Arc::new(settings.operator_keys.clone()),
         drain,
     };
     let mesh = MeshService {
-        control: control.clone(),
+        control: cx.control.clone(),
     };
-    announce(&me, &listeners);
     let options = ServerOptions::default();
     let executor = &cx.executor;
     executor.detach(serve(
@@ -151,32 +196,22 @@
         options,
         operators,
     ));
-    executor.detach(serve_mesh(
-        listeners.mesh,
-        settings.mesh_secret,
-        executor.clone(),
-        mesh,
-    ));
-    let callers = serve(
-        listeners.callers,
-        traffic_executor.clone(),
-        options,
-        traffic,
-    );
-    traffic_executor.detach(callers);
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(StartError::Signals)?;
-    async_io::block_on(async {
-        let signalled = async {
-            signals.next().await;
-        };
-        let ordered = async {
-            // The channel stays open as long as operators are served.
-            let _closed = drained.recv().await;
-        };
-        future::or(signalled, ordered).await;
-        stop(&control, &draining, settings.address_ttl).await;
-    });
-    Ok(())
+    let secret = settings.mesh_secret;
+    executor.detach(serve_mesh(listeners.mesh, secret, executor.clone(), mesh));
+    let executor = traffic.executor.clone();
+    executor.detach(serve(listeners.callers, executor.clone(), options, traffic));
+    drained
+}
+
+async fn told_to_stop(mut signals: Signals, drained: Receiver<()>) {
+    let signalled = async {
+        signals.next().await;
+    };
+    let ordered = async {
+        // The channel stays open as long as operators are served.
+        let _closed = drained.recv().await;
+    };
+    future::or(signalled, ordered).await;
 }
 
 /// Leaves the list of addresses first, serves until the last kept answer has
--- a/crates/router/src/traffic/addresses.rs
+++ b/crates/router/src/traffic/addresses.rs
@@ -1,16 +1,15 @@
 //! Which addresses a caller should use.
 
+use briarhall_net::Body;
+use briarhall_net::json;
+use briarhall_net::problem;
+use briarhall_types::Problem;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use serde::Serialize;
 
-use briarhall_net::Body;
-use briarhall_net::json;
-use briarhall_net::problem;
-use briarhall_types::Problem;
-
 use super::Traffic;
 use super::request;
 use crate::control::Msg;
--- a/crates/router/src/traffic/attempt.rs
+++ b/crates/router/src/traffic/attempt.rs
@@ -3,9 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_lite::future;
-
 use briarhall_endpoint::EngineClient;
 use briarhall_endpoint::EngineError;
 use briarhall_endpoint::Event;
@@ -17,6 +14,8 @@
 use briarhall_net::HttpError;
 use briarhall_policy::fleet::AttemptKey;
 use briarhall_types::AttemptId;
+use bytes::Bytes;
+use futures_lite::future;
 
 use super::deadline::Deadline;
 use super::outlet::CallerGone;
--- a/crates/router/src/traffic/completions.rs
+++ b/crates/router/src/traffic/completions.rs
@@ -5,12 +5,6 @@
 use std::time::Instant;
 
 use async_io::Timer;
-use bytes::Bytes;
-use compact_str::CompactString;
-use hyper::Request;
-use hyper::Response;
-use hyper::body::Incoming;
-
 use briarhall_endpoint::Lease;
 use briarhall_endpoint::Refused;
 use briarhall_endpoint::wire::CompletionCall;
@@ -22,7 +16,13 @@
 use briarhall_types::Digest;
 use briarhall_types::Problem;
 use briarhall_types::RequestId;
+use briarhall_types::RouterName;
 use briarhall_types::new_id;
+use bytes::Bytes;
+use compact_str::CompactString;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
 
 use super::Traffic;
 use super::attempt;
@@ -113,7 +113,7 @@
         self.executor.detach(async move {
             traffic
                 .finish_job(id, job, repeating, outlet, arrived)
-                .await
+                .await;
         });
         let gone = || Problem::unknown(500, "internal", "the request ended without an answer");
         head.recv().await.map_err(|_closed| gone())
@@ -130,9 +130,9 @@
         let ticket = job.admitted.ticket;
         let customer = job.admitted.customer.clone();
         let outcome = if job.repeatable {
-            self.answer(job, outlet).await
+            Box::pin(self.answer(job, outlet)).await
         } else {
-            self.answer_once(job, repeating, outlet).await
+            Box::pin(self.answer_once(job, repeating, outlet)).await
         };
         self.control.tell(Msg::RequestEnded(ticket)).await;
         self.metrics.count(outcome);
@@ -219,10 +219,10 @@
                 Ended::Whole => return Ok(()),
                 Ended::CallerGone => return Err(None),
                 Ended::Deadline => return Err(Some(job.out_of_time())),
-                Ended::Refused(Refused::Invalid) => return Err(Some(job.not_understood())),
+                Ended::Refused(Refused::Invalid) => return Err(Some(not_understood())),
                 Ended::Refused(_) | Ended::NotSent(_) => {}
                 Ended::Lost(_) if job.repeatable => {}
-                Ended::Lost(_) => return Err(Some(job.lost())),
+                Ended::Lost(_) => return Err(Some(lost())),
             }
         }
     }
@@ -244,7 +244,13 @@
                 return Ok(ended);
             }
         };
-        let attempt = job.attempt(self, &routed, outlet.tokens(), None, Vec::new());
+        let attempt = Attempt {
+            id: new_id(),
+            address: routed.record.address,
+            body: job.body(outlet.tokens(), routed.priority, None, Vec::new()),
+            key: routed.attempt,
+            lease: job.lease(&self.router),
+        };
         let ended =
             attempt::run(&self.engines, &self.control, &attempt, outlet, job.deadline).await;
         self.attempt_ended(&routed, ended.for_routing()).await;
@@ -343,23 +349,6 @@
         }
     }
 
-    fn attempt(
-        &self,
-        traffic: &Traffic,
-        routed: &Routed,
-        from: u64,
-        reservation: Option<CompactString>,
-        kv_parts: Vec<KvPart>,
-    ) -> Attempt {
-        Attempt {
-            id: new_id(),
-            address: routed.record.address,
-            body: self.body(from, routed.priority, reservation, kv_parts),
-            key: routed.attempt,
-            lease: self.lease(traffic),
-        }
-    }
-
     pub(super) fn body(
         &self,
         from: u64,
@@ -379,9 +368,9 @@
         Bytes::from(serde_json::to_vec(&call).unwrap_or_default())
     }
 
-    pub(super) fn lease(&self, traffic: &Traffic) -> Lease {
+    pub(super) fn lease(&self, owner: &RouterName) -> Lease {
         Lease {
-            owner: traffic.router.clone(),
+            owner: owner.clone(),
             life: self.deadline.left() + LEASE_MARGIN,
         }
     }
@@ -396,19 +385,6 @@
         failure.retry_after(DEADLINE_RETRY)
     }
 
-    fn lost(&self) -> Problem {
-        let detail = "the endpoint was lost; the request may have run and is not sent again";
-        Problem::unknown(502, "endpoint-lost", detail)
-    }
-
-    fn not_understood(&self) -> Problem {
-        Problem::not_run(
-            400,
-            "bad-request",
-            "the engine does not understand the request",
-        )
-    }
-
     /// A refusal by routing is only `not-run` while nothing was sent.
     fn refused(&self, failure: Problem) -> Problem {
         if self.may_have_run {
@@ -421,3 +397,13 @@
         }
     }
 }
+
+fn not_understood() -> Problem {
+    let detail = "the engine does not understand the request";
+    Problem::not_run(400, "bad-request", detail)
+}
+
+fn lost() -> Problem {
+    let detail = "the endpoint was lost; the request may have run and is not sent again";
+    Problem::unknown(502, "endpoint-lost", detail)
+}
--- a/crates/router/src/traffic/gang.rs
+++ b/crates/router/src/traffic/gang.rs
@@ -4,11 +4,6 @@
 use std::time::Duration;
 
 use async_channel::Sender;
-use compact_str::CompactString;
-use compact_str::format_compact;
-use futures::future::join_all;
-use futures_lite::future;
-
 use briarhall_endpoint::EngineClient;
 use briarhall_endpoint::EngineError;
 use briarhall_endpoint::Lease;
@@ -22,6 +17,10 @@
 use briarhall_policy::gang::NoGang;
 use briarhall_types::Problem;
 use briarhall_types::new_id;
+use compact_str::CompactString;
+use compact_str::format_compact;
+use futures::future::join_all;
+use futures_lite::future;
 
 use super::Traffic;
 use super::attempt;
@@ -54,11 +53,12 @@
     engines: EngineClient,
     executor: Executor,
     /// Closes when dropped, which ends the renewal.
-    _renewal: Option<Sender<()>>,
+    renewal: Option<Sender<()>>,
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
+        drop(self.renewal.take());
         let engines = self.engines.clone();
         let name = self.name.clone();
         let parts = std::mem::take(&mut self.parts);
@@ -163,7 +163,7 @@
             address: lead.address,
             body,
             key: lead.attempt,
-            lease: job.lease(self),
+            lease: job.lease(&self.router),
         };
         attempt::run(&self.engines, &self.control, &attempt, outlet, job.deadline).await
     }
@@ -176,7 +176,7 @@
             parts: Vec::new(),
             engines: self.engines.clone(),
             executor: self.executor.clone(),
-            _renewal: None,
+            renewal: None,
         };
         for part in &plan.parts {
             let call = ReserveCall {
@@ -191,7 +191,7 @@
             let reserved = self.engines.reserve(part.address, &call, limit).await;
             reserved.map_err(|e| ended_by(&e))?;
         }
-        held._renewal = Some(self.renew_while_open(&held));
+        held.renewal = Some(self.renew_while_open(&held));
         Ok(held)
     }
 
--- a/crates/router/src/traffic/mod.rs
+++ b/crates/router/src/traffic/mod.rs
@@ -16,14 +16,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use hyper::Method;
-use hyper::Request;
-use hyper::Response;
-use hyper::StatusCode;
-use hyper::body::Incoming;
-use hyper::header::CONNECTION;
-use hyper::header::HeaderValue;
-
 use briarhall_endpoint::EngineClient;
 use briarhall_endpoint::ServiceClient;
 use briarhall_net::Body;
@@ -34,6 +26,13 @@
 use briarhall_net::status;
 use briarhall_types::Problem;
 use briarhall_types::RouterName;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 
 use crate::control::ControlHandle;
 use crate::peers::Peers;
--- a/crates/router/src/traffic/outlet.rs
+++ b/crates/router/src/traffic/outlet.rs
@@ -5,13 +5,6 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
-use bytes::Bytes;
-use hyper::Response;
-use hyper::StatusCode;
-use hyper::header::CONTENT_TYPE;
-use hyper::header::HeaderValue;
-use serde::Serialize;
-
 use briarhall_net::Body;
 use briarhall_net::BodySender;
 use briarhall_net::event;
@@ -20,6 +13,12 @@
 use briarhall_types::Outcome;
 use briarhall_types::Problem;
 use briarhall_types::RequestId;
+use bytes::Bytes;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use serde::Serialize;
 
 use super::request::Completion;
 use super::request::Form;
--- a/crates/router/src/traffic/request.rs
+++ b/crates/router/src/traffic/request.rs
@@ -1,5 +1,10 @@
 //! Callers' requests, read and checked.
 
+use briarhall_net::BodyTooLarge;
+use briarhall_net::read_limited;
+use briarhall_types::Digest;
+use briarhall_types::Problem;
+use briarhall_types::estimate_tokens;
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Request;
@@ -7,12 +12,6 @@
 use hyper::header::AUTHORIZATION;
 use serde::Deserialize;
 
-use briarhall_net::BodyTooLarge;
-use briarhall_net::read_limited;
-use briarhall_types::Digest;
-use briarhall_types::Problem;
-use briarhall_types::estimate_tokens;
-
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 const DEFAULT_MAX_TOKENS: u64 = 16;
 const MAX_MAX_TOKENS: u64 = 32_768;
@@ -150,11 +149,11 @@
 pub fn completion(form: Form, body: &[u8]) -> Result<Completion, Problem> {
     let (model, prompt, max_tokens, stream) = match form {
         Form::Prompt => {
-            let body = serde_json::from_slice::<PromptBody>(body).map_err(not_json)?;
+            let body = serde_json::from_slice::<PromptBody>(body).map_err(|e| not_json(&e))?;
             (body.model, body.prompt, body.max_tokens, body.stream)
         }
         Form::Chat => {
-            let body = serde_json::from_slice::<ChatBody>(body).map_err(not_json)?;
+            let body = serde_json::from_slice::<ChatBody>(body).map_err(|e| not_json(&e))?;
             let prompt = joined(&body.messages);
             (body.model, prompt, body.max_tokens, body.stream)
         }
@@ -183,7 +182,7 @@
     Problem::not_run(400, "bad-request", detail)
 }
 
-fn not_json(e: serde_json::Error) -> Problem {
+fn not_json(e: &serde_json::Error) -> Problem {
     bad_request(format!("the body is not the expected JSON: {e}"))
 }
 
--- a/crates/router/src/traffic/services.rs
+++ b/crates/router/src/traffic/services.rs
@@ -4,14 +4,6 @@
 use std::time::Instant;
 
 use async_io::Timer;
-use compact_str::CompactString;
-use hyper::Request;
-use hyper::Response;
-use hyper::StatusCode;
-use hyper::body::Incoming;
-use hyper::header::CONTENT_TYPE;
-use hyper::header::HeaderValue;
-
 use briarhall_endpoint::ServiceReply;
 use briarhall_endpoint::ServiceRequest;
 use briarhall_mesh::HeldResult;
@@ -25,6 +17,13 @@
 use briarhall_types::Outcome;
 use briarhall_types::Problem;
 use briarhall_types::new_id;
+use compact_str::CompactString;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
 
 use super::Traffic;
 use super::deadline::Deadline;
@@ -113,16 +112,12 @@
         // The call goes on by itself when its caller hangs up: it may have had
         // its effect, and its result is owed to whoever sends the key again.
         let traffic = self.clone();
-        let task = self.executor.spawn(async move {
-            traffic
-                .finish_service(job, repeating, content, arrived)
-                .await
-        });
         let (tx, rx) = async_channel::bounded(1);
-        self.executor.detach(async move {
-            let reply = task.await;
-            let _gone = tx.try_send(reply);
-        });
+        let run = async move {
+            let reply = Box::pin(traffic.finish_service(job, repeating, content, arrived));
+            let _gone = tx.try_send(reply.await);
+        };
+        self.executor.detach(run);
         let gone = || Problem::unknown(500, "internal", "the request ended without an answer");
         rx.recv().await.map_err(|_closed| gone())
     }
--- a/crates/settings/src/contract.rs
+++ b/crates/settings/src/contract.rs
@@ -33,14 +33,11 @@
     let mut fields = Fields::new(document);
     let contract = take_contract(&mut fields);
     fields.unknown_fields();
-    fields.finish()?;
-    // Without findings every required field was there.
-    let contract = contract.expect("a document without findings is complete");
+    let contract = fields.finish(contract)?;
     for problem in contract.problems() {
         fields.problem(&problem.field, &problem.message);
     }
-    fields.finish()?;
-    Ok(contract)
+    fields.finish(Some(contract))
 }
 
 fn take_contract(fields: &mut Fields<'_>) -> Option<Contract> {
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -214,18 +214,25 @@
         }
     }
 
-    /// Returns what was found wrong so far, in the whole document.
+    /// Returns what was taken, when nothing in the whole document is wrong.
     ///
     /// # Errors
     ///
     /// Returns the findings, when there are any.
-    pub fn finish(&self) -> Result<(), Findings> {
+    pub fn finish<T>(&self, taken: Option<T>) -> Result<T, Findings> {
         let mut findings = self.findings.borrow().clone();
-        if findings.is_empty() {
-            return Ok(());
+        match taken {
+            Some(taken) if findings.is_empty() => Ok(taken),
+            None if findings.is_empty() => {
+                let message = "is not complete; compare it with the example".to_owned();
+                let file = &self.document.file;
+                Err(Findings::one(Finding::new(file, 0, "", message)))
+            }
+            _ => {
+                findings.sort_by_key(|finding| finding.line);
+                Err(Findings { findings })
+            }
         }
-        findings.sort_by_key(|finding| finding.line);
-        Err(Findings { findings })
     }
 
     fn value(&mut self, name: &'static str) -> Option<&'a Value> {
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -6,12 +6,11 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use compact_str::CompactString;
-
 use briarhall_policy::fleet::Policy;
 use briarhall_types::Digest;
 use briarhall_types::ZoneName;
 use briarhall_types::parse_duration;
+use compact_str::CompactString;
 
 use crate::Document;
 use crate::Fields;
@@ -83,8 +82,7 @@
     let mut fields = Fields::new(&document);
     let settings = take(&mut fields);
     fields.unknown_fields();
-    fields.finish()?;
-    Ok(settings.expect("a document without findings is complete"))
+    fields.finish(settings)
 }
 
 fn take(fields: &mut Fields<'_>) -> Option<RouterSettings> {
--- a/crates/settings/src/steward.rs
+++ b/crates/settings/src/steward.rs
@@ -45,8 +45,7 @@
     let mut fields = Fields::new(&document);
     let settings = take(&mut fields);
     fields.unknown_fields();
-    fields.finish()?;
-    Ok(settings.expect("a document without findings is complete"))
+    fields.finish(settings)
 }
 
 fn take(fields: &mut Fields<'_>) -> Option<StewardSettings> {
--- a/crates/standins/src/bin/fault-proxy.rs
+++ b/crates/standins/src/bin/fault-proxy.rs
@@ -4,13 +4,12 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use mimalloc::MiMalloc;
-
 use briarhall_net::ServerOptions;
 use briarhall_net::bind;
 use briarhall_net::serve;
 use briarhall_standins::proxy::Proxy;
 use briarhall_standins::run;
+use mimalloc::MiMalloc;
 
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
--- a/crates/standins/src/bin/standin-engine.rs
+++ b/crates/standins/src/bin/standin-engine.rs
@@ -5,8 +5,6 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use mimalloc::MiMalloc;
-
 use briarhall_net::ServerOptions;
 use briarhall_net::serve;
 use briarhall_standins::engine::Cost;
@@ -14,6 +12,7 @@
 use briarhall_standins::engine::EngineOptions;
 use briarhall_standins::engine::Limits;
 use briarhall_standins::run;
+use mimalloc::MiMalloc;
 
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
--- a/crates/standins/src/bin/standin-platform.rs
+++ b/crates/standins/src/bin/standin-platform.rs
@@ -5,13 +5,12 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use mimalloc::MiMalloc;
-
 use briarhall_net::ServerOptions;
 use briarhall_net::serve;
 use briarhall_standins::platform::PlatformHandler;
 use briarhall_standins::platform::PlatformOptions;
 use briarhall_standins::run;
+use mimalloc::MiMalloc;
 
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
--- a/crates/standins/src/bin/standin-service.rs
+++ b/crates/standins/src/bin/standin-service.rs
@@ -4,12 +4,11 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use mimalloc::MiMalloc;
-
 use briarhall_net::ServerOptions;
 use briarhall_net::serve;
 use briarhall_standins::run;
 use briarhall_standins::service::ServiceHandler;
+use mimalloc::MiMalloc;
 
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
--- a/crates/standins/src/engine/simulation.rs
+++ b/crates/standins/src/engine/simulation.rs
@@ -3,14 +3,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use briarhall_types::LengthClass;
+use briarhall_types::LoadReport;
 use compact_str::CompactString;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 use thiserror::Error;
 
-use briarhall_types::LengthClass;
-use briarhall_types::LoadReport;
-
 use super::cache::BlockChain;
 use super::cache::PrefixCache;
 
--- a/crates/standins/src/platform/http.rs
+++ b/crates/standins/src/platform/http.rs
@@ -13,17 +13,6 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_io::Timer;
-use hyper::Method;
-use hyper::Request;
-use hyper::Response;
-use hyper::StatusCode;
-use hyper::body::Incoming;
-use hyper::header::HeaderValue;
-use hyper::header::RETRY_AFTER;
-use serde::Deserialize;
-use serde::Serialize;
-use serde_json::Value;
-
 use briarhall_net::Body;
 use briarhall_net::Handler;
 use briarhall_net::json;
@@ -34,6 +23,16 @@
 use briarhall_platform::WatchReply;
 use briarhall_platform::Written;
 use briarhall_types::EndpointRecord;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
 
 use super::Condition;
 use super::Faults;
@@ -203,6 +202,7 @@
         }
     }
 
+    #[expect(clippy::result_large_err, reason = "the refusal is the reply itself")]
     fn read_allowed(&self) -> Result<MutexGuard<'_, State>, Response<Body>> {
         let mut state = self.state();
         if let Err(wait) = state.reads.take(1.0, Instant::now()) {
@@ -345,7 +345,7 @@
         )]
         let bytes = call.bytes as f64;
         match self.state().weights.take(bytes, Instant::now()) {
-            Ok(()) => status(StatusCode::OK),
+            Ok(()) => json(StatusCode::OK, &()),
             Err(wait) => limited(wait),
         }
     }
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -2,11 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use serde_json::Value;
-
 use briarhall_platform::Change;
 use briarhall_platform::Listing;
 use briarhall_platform::Object;
+use serde_json::Value;
 
 const MAX_HISTORY: usize = 100_000;
 const MAX_VALUE_BYTES: usize = 1024 * 1024;
@@ -183,7 +182,9 @@
         });
         if self.history.len() > MAX_HISTORY {
             let dropped = self.history.drain(..MAX_HISTORY / 2);
-            self.forgotten = dropped.last().map_or(0, |entry| entry.change.version);
+            self.forgotten = dropped
+                .max_by_key(|entry| entry.change.version)
+                .map_or(0, |entry| entry.change.version);
         }
         self.revision
     }
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -18,6 +18,12 @@
 use async_io::Timer;
 use async_net::TcpListener;
 use async_net::TcpStream;
+use briarhall_net::Body;
+use briarhall_net::Executor;
+use briarhall_net::Handler;
+use briarhall_net::json;
+use briarhall_net::read_limited;
+use briarhall_net::status;
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
 use futures_lite::future;
@@ -28,13 +34,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use briarhall_net::Body;
-use briarhall_net::Executor;
-use briarhall_net::Handler;
-use briarhall_net::json;
-use briarhall_net::read_limited;
-use briarhall_net::status;
-
 const MAX_BODY_BYTES: usize = 64 * 1024;
 const BUFFER_BYTES: usize = 64 * 1024;
 
@@ -149,10 +148,7 @@
     async fn pump(&self, mut from: TcpStream, mut to: TcpStream, direction: Direction) {
         let mut buf = vec![0; BUFFER_BYTES];
         let mut carried = 0;
-        loop {
-            let Ok(n) = from.read(&mut buf).await else {
-                break;
-            };
+        while let Ok(n) = from.read(&mut buf).await {
             if n == 0 {
                 break;
             }
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -10,6 +10,11 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use briarhall_net::Body;
+use briarhall_net::Handler;
+use briarhall_net::json;
+use briarhall_net::read_limited;
+use briarhall_net::status;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -18,12 +23,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use briarhall_net::Body;
-use briarhall_net::Handler;
-use briarhall_net::json;
-use briarhall_net::read_limited;
-use briarhall_net::status;
-
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 
 /// What goes wrong from now on.
--- a/crates/standins/src/start.rs
+++ b/crates/standins/src/start.rs
@@ -6,14 +6,13 @@
 use std::net::SocketAddr;
 
 use async_net::TcpListener;
-use serde::Serialize;
-use thiserror::Error;
-
 use briarhall_net::Executor;
 use briarhall_net::SpawnThreadsError;
 use briarhall_net::Threads;
 use briarhall_net::TimerRuntime;
 use briarhall_net::bind;
+use serde::Serialize;
+use thiserror::Error;
 
 /// Says why a stand-in could not start.
 #[derive(Debug, Error)]
