--- a/crates/policy/src/fleet/queries.rs
+++ b/crates/policy/src/fleet/queries.rs
@@ -90,17 +90,16 @@
         })
     }
 
-    /// Returns what each engine of a model could give to a gang.
+    /// Returns what each engine of a model could give to a gang. Those that are
+    /// down are among them: they may come back.
     #[must_use]
     pub fn rooms(&self, want: &Want, now: Instant) -> Vec<Room> {
         let Some(group) = self.groups.get(&want.serves) else {
             return Vec::new();
         };
-        let usable = group
+        group
             .keys
             .iter()
-            .filter(|key| self.is_usable(**key, want, now));
-        usable
             .map(|key| {
                 let endpoint = &self.endpoints[*key];
                 let load = self.load(endpoint);
@@ -110,6 +109,7 @@
                     capacity: endpoint.record.kv_tokens,
                     used: load.kv_used,
                     reserved: load.kv_reserved,
+                    usable: self.is_usable(*key, want, now),
                 }
             })
             .collect()
--- a/crates/policy/src/gang.rs
+++ b/crates/policy/src/gang.rs
@@ -30,6 +30,8 @@
     pub used: u64,
     /// Tokens held by reservations, as far as known.
     pub reserved: u64,
+    /// Whether it takes work now.
+    pub usable: bool,
 }
 
 /// One engine's part of a prompt.
@@ -41,6 +43,8 @@
     pub name: EndpointName,
     /// Tokens of the prompt it holds.
     pub tokens: u64,
+    /// Tokens that all gangs together may hold there.
+    pub allowance: u64,
 }
 
 /// Why no gang can be had.
@@ -72,7 +76,7 @@
     let mut left = tokens;
     let mut parts = Vec::new();
     for (free, room) in by_free.into_iter().take(MAX_ENGINES) {
-        if left == 0 || free < MIN_PART_TOKENS.min(left) {
+        if left == 0 || free < MIN_PART_TOKENS.min(left).max(1) {
             break;
         }
         let tokens = free.min(left);
@@ -81,6 +85,7 @@
             key: room.key,
             name: room.name.clone(),
             tokens,
+            allowance: largest_part(room),
         });
     }
     if left > 0 {
@@ -101,6 +106,9 @@
 }
 
 fn free_part(room: &Room) -> u64 {
+    if !room.usable {
+        return 0;
+    }
     let by_gangs = largest_part(room).saturating_sub(room.reserved);
     by_gangs.min(room.capacity.saturating_sub(room.used))
 }
--- a/crates/router/src/control/messages.rs
+++ b/crates/router/src/control/messages.rs
@@ -152,6 +152,8 @@
     pub address: SocketAddr,
     /// Tokens of the prompt.
     pub tokens: u64,
+    /// Tokens that all gangs together may hold there.
+    pub allowance: u64,
 }
 
 /// How an attempt ended, as far as routing goes.
--- a/crates/router/src/control/route.rs
+++ b/crates/router/src/control/route.rs
@@ -106,6 +106,7 @@
             attempt,
             address,
             tokens: part.tokens,
+            allowance: part.allowance,
         })
     }
 
--- a/crates/router/src/traffic/attempt.rs
+++ b/crates/router/src/traffic/attempt.rs
@@ -17,11 +17,11 @@
 use bytes::Bytes;
 use futures_lite::future;
 
+use super::Traffic;
 use super::deadline::Deadline;
 use super::outlet::CallerGone;
 use super::outlet::Outlet;
 use crate::control::AttemptEnd;
-use crate::control::ControlHandle;
 use crate::control::Msg;
 
 /// Silence after which a stream is opened again on a new connection, and the
@@ -86,12 +86,12 @@
 
 /// Makes an attempt and gives its tokens to the caller.
 pub async fn run(
-    engines: &EngineClient,
-    control: &ControlHandle,
+    traffic: &Traffic,
     attempt: &Attempt,
     outlet: &mut Outlet,
     deadline: Deadline,
 ) -> Ended {
+    let engines = &traffic.engines;
     let from = outlet.tokens();
     let started = engines.start(
         attempt.address,
@@ -112,9 +112,12 @@
             Some(ended) => return ended,
         },
     };
-    let ended = read(engines, control, attempt, stream, outlet, deadline).await;
+    let ended = read(traffic, attempt, stream, outlet, deadline).await;
     if ended != Ended::Whole {
-        cancel(engines, attempt).await;
+        // The caller's answer does not wait for it.
+        traffic
+            .executor
+            .detach(cancel(engines.clone(), attempt.clone()));
     }
     ended
 }
@@ -129,8 +132,7 @@
 }
 
 async fn read(
-    engines: &EngineClient,
-    control: &ControlHandle,
+    traffic: &Traffic,
     attempt: &Attempt,
     mut stream: EventStream,
     outlet: &mut Outlet,
@@ -153,7 +155,7 @@
                     return Ended::CallerGone;
                 }
                 if outlet.tokens() == first + 1 {
-                    control.tell(Msg::FirstToken(attempt.key)).await;
+                    traffic.control.tell(Msg::FirstToken(attempt.key)).await;
                 }
             }
             Ok(Event::Done) => return Ended::Whole,
@@ -163,7 +165,7 @@
                     return Ended::CallerGone;
                 }
                 log::debug!(attempt = attempt.id.to_string().as_str(), error = e.to_string().as_str(); "looking again");
-                match reopen(engines, attempt, outlet.tokens(), deadline).await {
+                match reopen(&traffic.engines, attempt, outlet.tokens(), deadline).await {
                     Ok(reopened) => stream = reopened,
                     Err(ended) => return ended,
                 }
@@ -201,7 +203,7 @@
 
 /// Frees what the attempt holds. If it cannot be reached now, its lease runs
 /// out and a steward frees it.
-async fn cancel(engines: &EngineClient, attempt: &Attempt) {
+async fn cancel(engines: EngineClient, attempt: Attempt) {
     let cancelled = engines.cancel(attempt.address, attempt.id, PROBE_LIMIT);
     if let Err(e) = cancelled.await {
         log::debug!(attempt = attempt.id.to_string().as_str(), error = e.to_string().as_str(); "cannot cancel");
--- a/crates/router/src/traffic/completions.rs
+++ b/crates/router/src/traffic/completions.rs
@@ -251,8 +251,7 @@
             key: routed.attempt,
             lease: job.lease(&self.router),
         };
-        let ended =
-            attempt::run(&self.engines, &self.control, &attempt, outlet, job.deadline).await;
+        let ended = attempt::run(self, &attempt, outlet, job.deadline).await;
         self.attempt_ended(&routed, ended.for_routing()).await;
         if let Some(name) = lock {
             self.unlock(&routed, &name).await;
@@ -386,7 +385,7 @@
     }
 
     /// A refusal by routing is only `not-run` while nothing was sent.
-    fn refused(&self, failure: Problem) -> Problem {
+    pub(super) fn refused(&self, failure: Problem) -> Problem {
         if self.may_have_run {
             Problem {
                 outcome: briarhall_types::Outcome::Unknown,
--- a/crates/router/src/traffic/gang.rs
+++ b/crates/router/src/traffic/gang.rs
@@ -9,17 +9,19 @@
 use briarhall_endpoint::Lease;
 use briarhall_endpoint::Ran;
 use briarhall_endpoint::Refused;
+use briarhall_endpoint::wire::HoldingKind;
 use briarhall_endpoint::wire::KvPart;
 use briarhall_endpoint::wire::PrefillCall;
 use briarhall_endpoint::wire::ReserveCall;
 use briarhall_net::Executor;
-use briarhall_net::HttpError;
+use briarhall_policy::fleet::AttemptKey;
 use briarhall_policy::gang::NoGang;
 use briarhall_types::Problem;
 use briarhall_types::new_id;
 use compact_str::CompactString;
 use compact_str::format_compact;
 use futures::future::join_all;
+use futures::future::try_join_all;
 use futures_lite::future;
 
 use super::Traffic;
@@ -44,6 +46,13 @@
 /// do not meet again.
 const RETRY_PAUSE_MS: std::ops::Range<u64> = 40..160;
 
+/// How a gang's attempt ended, and by which of its engines.
+#[derive(Debug, Clone, Copy)]
+struct GangEnd {
+    ended: Ended,
+    by: Option<AttemptKey>,
+}
+
 /// Reservations that are held. Dropping it releases all of them, whatever way
 /// the request ends.
 #[derive(Debug)]
@@ -102,20 +111,18 @@
         let call = job.route_call();
         let plan = match self.control.ask(|reply| Msg::Gang(call, reply)).await {
             Ok(plan) => plan,
-            Err(NoGang::TooLarge) => return Err(Some(too_large(job))),
+            Err(NoGang::TooLarge) => return Err(Some(job.refused(too_large(job)))),
             Err(NoGang::NoRoom) => {
                 self.pause(job, outlet, retry_pause()).await?;
                 return Ok(Ended::Refused(Refused::Full));
             }
         };
-        let ended = self.run_gang(job, &plan, outlet).await;
+        let GangEnd { ended, by } = self.run_gang(job, &plan, outlet).await;
         for part in &plan.parts {
-            let end = ended.for_routing();
-            // Only the engine that failed is to blame; which one is not known.
-            let end = if end == AttemptEnd::Died {
-                AttemptEnd::GivenUp
+            let end = if by == Some(part.attempt) {
+                ended.for_routing()
             } else {
-                end
+                AttemptEnd::GivenUp
             };
             self.control
                 .tell(Msg::AttemptEnded(part.attempt, end))
@@ -127,50 +134,63 @@
         Ok(ended)
     }
 
-    async fn run_gang(&self, job: &Job, plan: &GangPlan, outlet: &mut Outlet) -> Ended {
+    async fn run_gang(&self, job: &Job, plan: &GangPlan, outlet: &mut Outlet) -> GangEnd {
         let held = match self.reserve_all(job, plan).await {
             Ok(held) => held,
-            Err(ended) => return ended,
-        };
-        let working = async {
-            if let Err(ended) = self.prefill_all(job, plan, &held).await {
-                return Some(ended);
-            }
-            None
+            Err(end) => return end,
         };
+        let working = async { self.prefill_all(job, plan, &held).await.err() };
         let gone = async {
             outlet.caller_gone().await;
-            Some(Ended::CallerGone)
+            Some(GangEnd {
+                ended: Ended::CallerGone,
+                by: None,
+            })
         };
-        if let Some(ended) = future::or(working, gone).await {
-            return ended;
+        if let Some(end) = future::or(working, gone).await {
+            return end;
         }
+        self.generate(job, plan, &held, outlet).await
+    }
+
+    /// Generates on the first engine, which fetches the rest of the KV from the
+    /// others.
+    async fn generate(
+        &self,
+        job: &Job,
+        plan: &GangPlan,
+        held: &Held,
+        outlet: &mut Outlet,
+    ) -> GangEnd {
         let Some((lead, others)) = plan.parts.split_first() else {
-            return Ended::Refused(Refused::Full);
+            return GangEnd {
+                ended: Ended::Refused(Refused::Full),
+                by: None,
+            };
         };
         let kv_parts = others.iter().map(|part| KvPart {
             address: part.address,
             reservation: held.name.clone(),
         });
-        let body = job.body(
-            outlet.tokens(),
-            plan.priority,
-            Some(held.name.clone()),
-            kv_parts.collect(),
-        );
+        let kv_parts = kv_parts.collect();
+        let reservation = Some(held.name.clone());
         let attempt = Attempt {
             id: new_id(),
             address: lead.address,
-            body,
+            body: job.body(outlet.tokens(), plan.priority, reservation, kv_parts),
             key: lead.attempt,
             lease: job.lease(&self.router),
         };
-        attempt::run(&self.engines, &self.control, &attempt, outlet, job.deadline).await
+        let ended = attempt::run(self, &attempt, outlet, job.deadline).await;
+        GangEnd {
+            ended,
+            by: Some(lead.attempt),
+        }
     }
 
     /// Takes the reservations in the order of the plan. On the first refusal
     /// everything taken is let go.
-    async fn reserve_all(&self, job: &Job, plan: &GangPlan) -> Result<Held, Ended> {
+    async fn reserve_all(&self, job: &Job, plan: &GangPlan) -> Result<Held, GangEnd> {
         let mut held = Held {
             name: format_compact!("gang-{}", new_id()),
             parts: Vec::new(),
@@ -189,12 +209,30 @@
             // Whether or not the answer comes, the reservation may be there.
             held.parts.push(part.clone());
             let reserved = self.engines.reserve(part.address, &call, limit).await;
-            reserved.map_err(|e| ended_by(&e))?;
+            reserved.map_err(|e| ended_by(&e, part))?;
+            self.check_allowance(part, limit).await?;
         }
         held.renewal = Some(self.renew_while_open(&held));
         Ok(held)
     }
 
+    /// Load reports lag, so two gangs may have planned for the same room; the
+    /// engine itself tells at once what it holds.
+    async fn check_allowance(&self, part: &GangPart, limit: Duration) -> Result<(), GangEnd> {
+        let holdings = self.engines.holdings(part.address, limit).await;
+        let holdings = holdings.map_err(|e| ended_by(&e, part))?;
+        let reserved = holdings
+            .iter()
+            .filter(|h| h.kind == HoldingKind::Reservation);
+        if reserved.map(|holding| holding.tokens).sum::<u64>() <= part.allowance {
+            return Ok(());
+        }
+        Err(GangEnd {
+            ended: Ended::Refused(Refused::Full),
+            by: Some(part.attempt),
+        })
+    }
+
     /// Renews until the sender it returns is dropped.
     fn renew_while_open(&self, held: &Held) -> Sender<()> {
         let (tx, rx) = async_channel::bounded::<()>(1);
@@ -219,7 +257,7 @@
         tx
     }
 
-    async fn prefill_all(&self, job: &Job, plan: &GangPlan, held: &Held) -> Result<(), Ended> {
+    async fn prefill_all(&self, job: &Job, plan: &GangPlan, held: &Held) -> Result<(), GangEnd> {
         let mut left = job.req.tokens;
         let mut calls = Vec::new();
         // The first part also holds the answer, so prompts fill the others
@@ -234,22 +272,27 @@
             calls.push((part, call));
         }
         let limit = job.deadline.left();
-        let prefills = calls
-            .iter()
-            .map(|(part, call)| self.engines.prefill(part.address, &held.name, call, limit));
-        for result in join_all(prefills).await {
-            result.map_err(|e| ended_by(&e))?;
-        }
+        let prefills = calls.iter().map(|(part, call)| async {
+            let done = self
+                .engines
+                .prefill(part.address, &held.name, call, limit)
+                .await;
+            done.map_err(|e| ended_by(&e, part))
+        });
+        try_join_all(prefills).await?;
         Ok(())
     }
 }
 
-fn ended_by(e: &EngineError) -> Ended {
-    match e {
+fn ended_by(e: &EngineError, part: &GangPart) -> GangEnd {
+    let ended = match e {
         EngineError::Refused { kind, .. } => Ended::Refused(*kind),
-        EngineError::Http(HttpError::Connect { .. }) => Ended::NotSent(AttemptEnd::Failed),
         EngineError::Http(_) if e.ran() == Ran::No => Ended::NotSent(AttemptEnd::Failed),
         EngineError::Http(_) => Ended::Lost(AttemptEnd::Failed),
+    };
+    GangEnd {
+        ended,
+        by: Some(part.attempt),
     }
 }
 
