Long prompts wait at the router; gangs and priorities by real prefill rates

Cause: at 80 % load short requests' p99 with long ones was 2.16 times that without, huge prompts' p95 was 8.0 s against 4.7 s under least-requests, and prompts of a million tokens were not answered at all. Long prompts were bound to an engine when they arrived: they queued there, held memory that short ones needed, and left other engines idle. Allowances in priorities were reckoned at a fixed 10,000 tokens a second, sixteen times too slow, so long prompts never rose.

Ruled out: more lanes (the border followed the load well), more candidates. Reading a long prompt on the stand-in engine's only thread stopped its clock and showed as slowness of short ones; the stand-in has two threads now.

What was done: `holding` keeps long prompts at the router, in the order of their virtual deadlines, until an engine is open; no more go at a time than engines are open. `experiment` runs policies side by side with the same arrivals.

--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -20,6 +20,8 @@
 pub enum Command {
     /// Demo.
     Demo(DemoArgs),
+    /// Experiment.
+    Experiment(ExperimentArgs),
 }
 
 /// three routers, 20 engines, 3 services and two customers under mixed load;
@@ -35,3 +37,37 @@
     #[argh(option, default = "1")]
     pub seed: u64,
 }
+
+/// compare policies with the same arrivals: short requests' slowdown and time to
+/// first token by length, at several loads, numbers of routers and seeds
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "experiment")]
+pub struct ExperimentArgs {
+    /// print one JSON object
+    #[argh(switch)]
+    pub json: bool,
+    /// policies, with commas
+    #[argh(option, default = "\"round-robin,least-requests,lanes\".to_owned()")]
+    pub policies: String,
+    /// objectives of both contracts, with commas
+    #[argh(option, default = "\"short-slowdown\".to_owned()")]
+    pub objectives: String,
+    /// loads in per cent of the fleet's prefill capacity, with commas
+    #[argh(option, default = "\"50,80,110\".to_owned()")]
+    pub loads: String,
+    /// numbers of routers, with commas
+    #[argh(option, default = "\"3\".to_owned()")]
+    pub routers: String,
+    /// seeds, with commas
+    #[argh(option, default = "\"1,2\".to_owned()")]
+    pub seeds: String,
+    /// seconds of each run
+    #[argh(option, default = "10")]
+    pub seconds: u64,
+    /// lag of load reports, in milliseconds of real time
+    #[argh(option, default = "50")]
+    pub report_lag_ms: u64,
+    /// kill an engine half-way through each run
+    #[argh(switch)]
+    pub kill_engine: bool,
+}
--- a/crates/lab/src/counts.rs
+++ b/crates/lab/src/counts.rs
@@ -95,6 +95,19 @@
         self.lost + self.doubled + self.crossed + self.untrue_refusals == 0
     }
 
+    /// Adds the counts of another run.
+    pub fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.answered += other.answered;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.lost += other.lost;
+        self.doubled += other.doubled;
+        self.crossed += other.crossed;
+        self.untrue_refusals += other.untrue_refusals;
+        self.examples.extend(other.examples);
+    }
+
     fn note(&mut self, example: String) {
         const MAX_EXAMPLES: usize = 5;
         if self.examples.len() < MAX_EXAMPLES {
@@ -104,6 +117,12 @@
 }
 
 impl Records {
+    /// Adds the records of another run.
+    pub fn add(&mut self, other: Self) {
+        self.completions.extend(other.completions);
+        self.top_ups.extend(other.top_ups);
+    }
+
     /// Counts what callers saw and checks it against the site.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/lab/src/experiment.rs
@@ -0,0 +1,245 @@
+//! Policies side by side: the same arrivals, several seeds.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use async_io::Timer;
+use briarhall_lab::counts::Counts;
+use briarhall_lab::counts::Percentiles;
+use briarhall_lab::counts::Records;
+use briarhall_lab::load::Arrival;
+use briarhall_lab::load::LoadSpec;
+use briarhall_lab::load::arrivals;
+use briarhall_lab::load::without_long;
+use briarhall_lab::run::Lab;
+use briarhall_lab::site::CustomerSpec;
+use briarhall_lab::site::Site;
+use briarhall_lab::site::SiteSpec;
+use serde::Serialize;
+
+use crate::args::ExperimentArgs;
+use crate::error::LabError;
+
+const ENGINES: usize = 20;
+const SERVICES: usize = 1;
+const TIME_SCALE: f64 = 10.0;
+const PREFILL_RATE: f64 = 16_700.0;
+
+/// One line of the table: a setting, over all seeds.
+#[derive(Debug, Clone)]
+struct Setting {
+    policy: String,
+    objective: String,
+    load_percent: u64,
+    routers: usize,
+}
+
+#[derive(Debug, Serialize)]
+struct Row {
+    policy: String,
+    objective: String,
+    load_percent: u64,
+    routers: usize,
+    engine_killed: bool,
+    /// Summed over the seeds.
+    counts: Counts,
+    /// Real milliseconds, all seeds together.
+    first_token_ms: BTreeMap<&'static str, Percentiles>,
+    /// Short requests when the long ones are left out.
+    short_alone_ms: Option<Percentiles>,
+    short_p50_ratio: Option<f64>,
+    short_p99_ratio: Option<f64>,
+}
+
+#[derive(Debug, Serialize)]
+struct Report {
+    time_scale: f64,
+    engines: usize,
+    seeds: Vec<u64>,
+    report_lag_ms: u64,
+    rows: Vec<Row>,
+}
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// Returns an error when a site does not start, or a run is not clean.
+pub fn run(args: &ExperimentArgs) -> Result<(), LabError> {
+    let lab = Lab::start()?;
+    let seeds = numbers(&args.seeds)?;
+    let mut rows = Vec::new();
+    for setting in settings(args)? {
+        let row = async_io::block_on(measure(&lab, args, &setting, &seeds))?;
+        if !args.json {
+            print(&row, rows.is_empty());
+        }
+        rows.push(row);
+    }
+    let clean = rows.iter().all(|row| row.counts.is_clean());
+    let report = Report {
+        time_scale: TIME_SCALE,
+        engines: ENGINES,
+        seeds,
+        report_lag_ms: args.report_lag_ms,
+        rows,
+    };
+    if args.json {
+        println!("{}", serde_json::to_string(&report).unwrap_or_default());
+    }
+    if clean {
+        Ok(())
+    } else {
+        Err(LabError::NotClean)
+    }
+}
+
+fn settings(args: &ExperimentArgs) -> Result<Vec<Setting>, LabError> {
+    let mut settings = Vec::new();
+    for routers in numbers(&args.routers)? {
+        for load_percent in numbers(&args.loads)? {
+            for objective in args.objectives.split(',') {
+                for policy in args.policies.split(',') {
+                    settings.push(Setting {
+                        policy: policy.to_owned(),
+                        objective: objective.to_owned(),
+                        load_percent,
+                        routers: usize::try_from(routers).unwrap_or(1),
+                    });
+                }
+            }
+        }
+    }
+    Ok(settings)
+}
+
+fn numbers(text: &str) -> Result<Vec<u64>, LabError> {
+    let number = |part: &str| {
+        let wrong = || {
+            LabError::Usage(format!(
+                "`{part}` is not a whole number; write such as 1,2,3"
+            ))
+        };
+        part.trim().parse().map_err(|_e| wrong())
+    };
+    text.split(',').map(number).collect()
+}
+
+async fn measure(
+    lab: &Lab,
+    args: &ExperimentArgs,
+    setting: &Setting,
+    seeds: &[u64],
+) -> Result<Row, LabError> {
+    let mut alone = Records::default();
+    let mut mixed = Records::default();
+    let mut counts = Counts::default();
+    for seed in seeds {
+        let arrivals = arrivals(&load(args, setting, *seed));
+        let (records, _) = run_once(lab, args, setting, without_long(&arrivals)).await?;
+        alone.add(records);
+        let (records, counted) = run_once(lab, args, setting, arrivals).await?;
+        mixed.add(records);
+        counts.add(counted);
+    }
+    let first_token_ms = mixed.first_token_ms();
+    let short_alone_ms = alone.first_token_ms().remove("short");
+    let short = first_token_ms.get("short").copied();
+    let ratio = |of: fn(&Percentiles) -> f64| Some(of(&short?) / of(&short_alone_ms?));
+    Ok(Row {
+        policy: setting.policy.clone(),
+        objective: setting.objective.clone(),
+        load_percent: setting.load_percent,
+        routers: setting.routers,
+        engine_killed: args.kill_engine,
+        counts,
+        short_p50_ratio: ratio(|p| p.p50),
+        short_p99_ratio: ratio(|p| p.p99),
+        first_token_ms,
+        short_alone_ms,
+    })
+}
+
+/// Each run has a site of its own, so that no run warms up another.
+async fn run_once(
+    lab: &Lab,
+    args: &ExperimentArgs,
+    setting: &Setting,
+    arrivals: Vec<Arrival>,
+) -> Result<(Records, Counts), LabError> {
+    let spec = SiteSpec {
+        routers: setting.routers,
+        engines: ENGINES,
+        services: SERVICES,
+        time_scale: TIME_SCALE,
+        policy: setting.policy.clone(),
+        report_lag: Duration::from_millis(args.report_lag_ms),
+        log: "warn".to_owned(),
+        ..SiteSpec::default()
+    };
+    let mut site = Site::start(spec, lab.client.clone()).await?;
+    let customers = [CustomerSpec::tidewire(), CustomerSpec::lagon_bleu()];
+    let customers = customers.map(|customer| CustomerSpec {
+        objective: setting.objective.clone(),
+        ..customer
+    });
+    site.apply_contracts(&customers)?;
+    let books = lab.books(&site, &customers);
+    let sender = lab.clone();
+    let sending = async move { sender.send("run", &books, arrivals).await };
+    let sending = lab.executor.spawn(sending);
+    if args.kill_engine {
+        Timer::after(Duration::from_secs(args.seconds) / 2).await;
+        site.engines.remove(&0);
+    }
+    let records = sending.await;
+    let counts = records.counts(&site).await?;
+    Ok((records, counts))
+}
+
+#[expect(clippy::cast_precision_loss, reason = "small numbers")]
+fn load(args: &ExperimentArgs, setting: &Setting, seed: u64) -> LoadSpec {
+    LoadSpec {
+        seed,
+        duration: Duration::from_secs(args.seconds),
+        capacity: ENGINES as f64 * PREFILL_RATE * TIME_SCALE,
+        part: setting.load_percent as f64 / 100.0,
+        top_ups_per_second: 5.0,
+        giants: 1,
+        customers: 2,
+    }
+}
+
+fn print(row: &Row, first: bool) {
+    if first {
+        println!(
+            "POLICY         OBJECTIVE      LOAD ROUTERS  ANSWERED REFUSED UNKNOWN | SHORT p50  p99  ALONE p50  p99  RATIO p50  p99 | p95 MEDIUM   LONG   HUGE  GIANT"
+        );
+    }
+    let value =
+        |class: &str, of: fn(&Percentiles) -> f64| row.first_token_ms.get(class).map_or(0.0, of);
+    let alone = |of: fn(&Percentiles) -> f64| row.short_alone_ms.as_ref().map_or(0.0, of);
+    println!(
+        "{:<14} {:<14} {:>4} {:>7}  {:>8} {:>7} {:>7} | {:>9.1} {:>6.1} {:>7.1} {:>6.1} {:>7.2} {:>5.2} | {:>10.0} {:>6.0} {:>6.0} {:>6.0}",
+        row.policy,
+        row.objective,
+        row.load_percent,
+        row.routers,
+        row.counts.answered,
+        row.counts.not_run,
+        row.counts.unknown,
+        value("short", |p| p.p50),
+        value("short", |p| p.p99),
+        alone(|p| p.p50),
+        alone(|p| p.p99),
+        row.short_p50_ratio.unwrap_or(0.0),
+        row.short_p99_ratio.unwrap_or(0.0),
+        value("medium", |p| p.p95),
+        value("long", |p| p.p95),
+        value("huge", |p| p.p95),
+        value("giant", |p| p.p95),
+    );
+    for example in &row.counts.examples {
+        println!("    example: {example}");
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod demo;
 mod error;
+mod experiment;
 
 use std::process::ExitCode;
 
@@ -38,6 +39,7 @@
     }
     match &args.command {
         Some(Command::Demo(demo)) => demo::run(demo),
+        Some(Command::Experiment(experiment)) => experiment::run(experiment),
         None => Err(LabError::Usage("name what to run; see `--help`".to_owned())),
     }
 }
--- a/crates/policy/src/fleet/commands.rs
+++ b/crates/policy/src/fleet/commands.rs
@@ -133,9 +133,9 @@
     }
 
     /// Notes a request for the border between the lanes.
-    pub fn arrived(&mut self, want: &Want, now: Instant) {
-        if let Some(group) = self.groups.get_mut(&want.serves) {
-            group.lanes.note(want.tokens, want.max_tokens, now);
+    pub fn arrived(&mut self, serves: &str, tokens: u64, max_tokens: u64, now: Instant) {
+        if let Some(group) = self.groups.get_mut(serves) {
+            group.lanes.note(tokens, max_tokens, now);
         }
     }
 
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -30,8 +30,10 @@
 pub use estimate::Load;
 pub use lanes::LANE_BORDER_TOKENS;
 pub use lanes::Lanes;
+pub use lanes::is_long;
 pub use queries::Choice;
 pub use queries::NoEndpoint;
+pub use queries::Openings;
 
 new_key_type! {
     /// Key of an endpoint.
--- a/crates/policy/src/fleet/queries.rs
+++ b/crates/policy/src/fleet/queries.rs
@@ -29,6 +29,12 @@
 const SHORT_RESERVE: f64 = 0.15;
 /// What waiting for memory costs, in tokens of prefill.
 const MEMORY_WAIT_TOKENS: u64 = 60_000;
+/// An engine with less than this much prefill queued is open for a long prompt:
+/// about as long as it takes to hear that it has come free.
+const OPEN_QUEUE: Duration = Duration::from_millis(150);
+/// Most tokens queued at an engine that the short lane lends where short
+/// requests weigh more.
+const LENT_QUEUE_TOKENS: u64 = 1_024;
 /// Prefill rate taken for an engine that does not tell, in tokens a second.
 const DEFAULT_PREFILL_RATE: u64 = 10_000;
 
@@ -54,6 +60,19 @@
     AllDown,
 }
 
+/// Engines that have room for a long prompt now.
+#[derive(Debug, Clone)]
+pub struct Openings {
+    /// The best of them.
+    pub best: Option<Choice>,
+    /// How many there are.
+    pub open: usize,
+    /// Prompt tokens queued in the long lane.
+    pub queued: u64,
+    /// Prefill rate of the long lane, in tokens a second.
+    pub rate: u64,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Scored {
     key: EndpointKey,
@@ -81,13 +100,67 @@
             Policy::Lanes => self.by_lane(group, want, rng, now),
         };
         let best = best.ok_or(NoEndpoint::AllDown)?;
+        Ok(self.chosen(best))
+    }
+
+    fn chosen(&self, best: Scored) -> Choice {
         let record = self.endpoints[best.key].record.clone();
-        let first_token = prefill_time(&record, best.work);
-        Ok(Choice {
+        Choice {
             key: best.key,
+            first_token: prefill_time(&record, best.work),
             record,
-            first_token,
-        })
+        }
+    }
+
+    /// Returns the engines that have room for a long prompt now: little queued
+    /// before it, and memory to spare for short ones.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no engine at all.
+    pub fn openings(&self, want: &Want, now: Instant) -> Result<Openings, NoEndpoint> {
+        let group = self.groups.get(&want.serves).ok_or(NoEndpoint::Unknown)?;
+        let border = group.lanes.long_endpoints(group.keys.len());
+        let mut openings = Openings {
+            best: None,
+            open: 0,
+            queued: 0,
+            rate: 0,
+        };
+        let mut best = None::<Scored>;
+        let mut usable = 0;
+        for (place, key) in group.keys.iter().enumerate() {
+            if !self.is_usable(*key, want, now) {
+                continue;
+            }
+            usable += 1;
+            let endpoint = &self.endpoints[*key];
+            let load = self.load(endpoint);
+            let in_lane = place < border;
+            if in_lane {
+                openings.queued += load.queued;
+                openings.rate += prefill_rate(&endpoint.record);
+            }
+            if !is_open(endpoint, &load, want, in_lane) {
+                continue;
+            }
+            openings.open += 1;
+            let toll = if in_lane { 0 } else { lending_toll(want) };
+            let score = score(endpoint, &load, want) + toll;
+            if best.is_none_or(|best| score < best.score) {
+                let work = load.queued + want.tokens;
+                best = Some(Scored {
+                    key: *key,
+                    score,
+                    work,
+                });
+            }
+        }
+        if usable == 0 {
+            return Err(NoEndpoint::AllDown);
+        }
+        openings.best = best.map(|best| self.chosen(best));
+        Ok(openings)
     }
 
     /// Returns what each engine of a model could give to a gang. Those that are
@@ -200,17 +273,10 @@
     where
         R: Rng,
     {
-        let long = is_long(want.tokens);
         let border = group.lanes.long_endpoints(group.keys.len());
         let (long_lane, short_lane) = group.keys.split_at(border);
-        let (own, other) = if long {
-            (long_lane, short_lane)
-        } else {
-            (short_lane, long_lane)
-        };
-        let in_own = self.best_of(own, OWN_LANE_CANDIDATES, want, rng, now, 0);
-        let toll = lending_toll(want, long);
-        let in_other = self.best_of(other, OTHER_LANE_CANDIDATES, want, rng, now, toll);
+        let in_own = self.best_of(short_lane, OWN_LANE_CANDIDATES, want, rng, now);
+        let in_other = self.best_of(long_lane, OTHER_LANE_CANDIDATES, want, rng, now);
         let best = match (in_own, in_other) {
             (Some(a), Some(b)) if b.score < a.score => Some(b),
             (Some(a), _) => Some(a),
@@ -227,7 +293,6 @@
         want: &Want,
         rng: &mut R,
         now: Instant,
-        toll: u64,
     ) -> Option<Scored>
     where
         R: Rng,
@@ -246,7 +311,7 @@
         };
         let sample =
             (0..candidates.min(lane.len())).map(|i| &lane[(start + i * stride) % lane.len()]);
-        self.best(sample, want, now, |e, load| score(e, load, want) + toll)
+        self.best(sample, want, now, |e, load| score(e, load, want))
     }
 }
 
@@ -254,17 +319,35 @@
     if b == 0 { a } else { gcd(b, a % b) }
 }
 
-/// What using the other lane costs, in tokens of prefill. Where short requests
-/// weigh more, a long prompt goes there only when that saves it twice its own
-/// length.
-fn lending_toll(want: &Want, long: bool) -> u64 {
-    match (long, want.objective) {
-        (false, _) => 0,
-        (true, Objective::FirstToken) => want.tokens / 4,
-        (true, Objective::ShortSlowdown) => want.tokens * 2,
+/// What a long prompt pays for the short lane, in tokens of prefill.
+fn lending_toll(want: &Want) -> u64 {
+    match want.objective {
+        Objective::FirstToken => want.tokens / 4,
+        Objective::ShortSlowdown => want.tokens,
     }
 }
 
+/// Whether a long prompt may go to an engine now. Where short requests weigh
+/// more, the short lane lends only engines that have next to nothing to do.
+fn is_open(endpoint: &Endpoint, load: &Load, want: &Want, in_lane: bool) -> bool {
+    let rate = prefill_rate(&endpoint.record);
+    let most_queued = match (in_lane, want.objective) {
+        (true, _) => millis_of(rate, OPEN_QUEUE),
+        (false, Objective::FirstToken) => millis_of(rate, OPEN_QUEUE) / 4,
+        (false, Objective::ShortSlowdown) => LENT_QUEUE_TOKENS,
+    };
+    let needed = load.kv_used + want.tokens + want.max_tokens;
+    let fits = needed <= usable_memory(endpoint.record.kv_tokens, true)
+        // A prompt that leaves less than the reserve goes alone.
+        || load.kv_used == 0 && needed <= endpoint.record.kv_tokens;
+    fits && load.queued <= most_queued
+}
+
+fn millis_of(rate: u64, time: Duration) -> u64 {
+    let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    rate.saturating_mul(millis) / 1_000
+}
+
 /// Tokens of prefill before the first token, with a charge for memory that is
 /// not free.
 fn score(endpoint: &Endpoint, load: &Load, want: &Want) -> u64 {
@@ -296,11 +379,14 @@
     }
 }
 
-fn prefill_time(record: &EndpointRecord, tokens: u64) -> Duration {
-    let rate = if record.prefill_rate == 0 {
+fn prefill_rate(record: &EndpointRecord) -> u64 {
+    if record.prefill_rate == 0 {
         DEFAULT_PREFILL_RATE
     } else {
         record.prefill_rate
-    };
-    Duration::from_millis(tokens.saturating_mul(1_000) / rate)
+    }
+}
+
+fn prefill_time(record: &EndpointRecord, tokens: u64) -> Duration {
+    Duration::from_millis(tokens.saturating_mul(1_000) / prefill_rate(record))
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod duty;
 pub mod fleet;
 pub mod gang;
+pub mod holding;
 pub mod limits;
 pub mod members;
 pub mod rendezvous;
--- a/crates/policy/tests/claims.rs
+++ b/crates/policy/tests/claims.rs
@@ -121,7 +121,7 @@
     fn apply(&mut self, op: Op) {
         match op {
             Op::Claim { router, key } => {
-                self.claim(usize::from(router) % ROUTERS, key % KEYS, None)
+                self.claim(usize::from(router) % ROUTERS, key % KEYS, None);
             }
             Op::Step { router } => self.step(usize::from(router) % ROUTERS),
             Op::Deliver { router, luck } => self.deliver(usize::from(router) % ROUTERS, fate(luck)),
@@ -178,13 +178,14 @@
                 self.routers[router].chain.loaded(segments)
             }
             Step::Write(number, segment) => self.write(router, number, segment, fate),
-            Step::Read(number) => match self.store.get(&number) {
-                Some((_, segment)) => self.routers[router].chain.read(segment),
-                None => {
+            Step::Read(number) => {
+                if let Some((_, segment)) = self.store.get(&number) {
+                    self.routers[router].chain.read(segment)
+                } else {
                     self.routers[router].chain.absent();
                     Vec::new()
                 }
-            },
+            }
         };
         self.decided(&decided);
     }
--- a/crates/policy/tests/in_force.rs
+++ b/crates/policy/tests/in_force.rs
@@ -219,19 +219,19 @@
 
     fn beat(&mut self, slot: usize) {
         let now = self.now;
-        let router = &mut self.routers[slot];
-        router.beat += 1;
+        let own = &mut self.routers[slot];
+        own.beat += 1;
         let heartbeat = Heartbeat {
-            router: router.name.clone(),
-            counter: router.beat,
-            held: router.book.held(),
-            newest: router.book.newest(),
+            router: own.name.clone(),
+            counter: own.beat,
+            held: own.book.held(),
+            newest: own.book.newest(),
             caller_address: address(slot),
             mesh_address: address(slot),
             zone: CompactString::const_new("a"),
-            draining: router.draining,
+            draining: own.draining,
         };
-        router.members.beat(heartbeat, now);
+        own.members.beat(heartbeat, now);
     }
 
     fn ask(&mut self, from: usize, to: usize) {
@@ -254,15 +254,15 @@
 
     fn arrive(&mut self, at: usize, updates: bool) {
         let now = self.now;
-        let router = &mut self.routers[at];
-        for (asked, answer, update) in std::mem::take(&mut router.mail) {
+        let own = &mut self.routers[at];
+        for (asked, answer, update) in std::mem::take(&mut own.mail) {
             if updates {
-                router.book.apply(update);
+                own.book.apply(update);
             }
-            router.members.pulled(answer, asked, now);
+            own.members.pulled(answer, asked, now);
         }
-        for heartbeat in std::mem::take(&mut router.pushes) {
-            router.members.pushed(heartbeat, now);
+        for heartbeat in std::mem::take(&mut own.pushes) {
+            own.members.pushed(heartbeat, now);
         }
     }
 
@@ -296,26 +296,24 @@
     }
 
     fn confirmed(&mut self, at: usize) {
-        let router = &mut self.routers[at];
-        if let Some((asked, revision, update)) = router.confirming.take() {
-            router.book.apply(update);
-            if router.book.held() >= revision {
-                router.members.confirmed(asked);
+        let own = &mut self.routers[at];
+        if let Some((asked, revision, update)) = own.confirming.take() {
+            own.book.apply(update);
+            if own.book.held() >= revision {
+                own.members.confirmed(asked);
             }
         }
     }
 
     fn see_to_roster(&mut self, by: usize) {
-        let router = &self.routers[by];
-        if !router.runs {
+        let own = &self.routers[by];
+        if !own.runs {
             return;
         }
-        let roster = router.book.roster();
-        let version = router.book.roster_version();
-        let change = router
-            .members
-            .roster_change(&roster, router.started, self.now);
-        let settles = roster.is_changing() && router.members.quorum_holds(&roster, version);
+        let roster = own.book.roster();
+        let version = own.book.roster_version();
+        let change = router.members.roster_change(&roster, own.started, self.now);
+        let settles = roster.is_changing() && own.members.quorum_holds(&roster, version);
         let next = change.or_else(|| settles.then(|| Roster::settled(&roster)));
         if let Some(next) = next
             && version == self.version(ROSTER)
@@ -337,10 +335,10 @@
     /// news may be acted on.
     fn watch(&mut self, slot: usize) {
         let now = self.now;
-        let router = &mut self.routers[slot];
-        let roster = router.book.roster();
-        for (version, since) in &mut router.watched {
-            let holds = router.members.quorum_holds(&roster, *version);
+        let own = &mut self.routers[slot];
+        let roster = own.book.roster();
+        for (version, since) in &mut own.watched {
+            let holds = own.members.quorum_holds(&roster, *version);
             if holds && since.is_none() {
                 *since = Some(now);
             }
@@ -351,21 +349,21 @@
     }
 
     fn admit(&mut self, slot: usize) {
-        let router = &self.routers[slot];
-        let roster = router.book.roster();
-        let held = router.book.held();
-        if router.members.standing(&roster, held, self.now) != Standing::Current {
+        let own = &self.routers[slot];
+        let roster = own.book.roster();
+        let held = own.book.held();
+        if own.members.standing(&roster, held, self.now) != Standing::Current {
             return;
         }
-        let version = router.book.contract("tidewire").map_or(0, |c| c.version);
+        let version = own.book.contract("tidewire").map_or(0, |c| c.version);
         assert!(
             version >= self.accepted,
             "{} admits under {version}, {} is accepted",
-            router.name,
+            own.name,
             self.accepted,
         );
-        let before = self.admitted.entry(router.name.clone()).or_default();
-        assert!(version >= *before, "{} went back", router.name);
+        let before = self.admitted.entry(own.name.clone()).or_default();
+        assert!(version >= *before, "{} went back", own.name);
         *before = version;
     }
 }
@@ -457,10 +455,8 @@
         at: 3,
         updates: false,
     });
-    let router = &world.routers[3];
-    let roster = router.book.roster();
-    let standing = router
-        .members
-        .standing(&roster, router.book.held(), world.now);
+    let own = &world.routers[3];
+    let roster = own.book.roster();
+    let standing = router.members.standing(&roster, own.book.held(), world.now);
     assert_eq!(standing, Standing::Behind);
 }
--- a/crates/router/src/control/admit.rs
+++ b/crates/router/src/control/admit.rs
@@ -42,6 +42,7 @@
         self.check_suspicion(&fingerprint)?;
         let key = call_key(&contract, &call.call);
         self.check_limits(&key, &terms.limits, call.tokens, now)?;
+        self.note_arrival(call, now);
         let ticket = self.tickets.insert(Ticket { call: key });
         self.metrics.count("admitted");
         Ok(Admitted {
@@ -54,7 +55,15 @@
         })
     }
 
+    fn note_arrival(&mut self, call: &AdmitCall, now: Instant) {
+        self.retries.earn();
+        if let CallName::Model(name) = &call.call {
+            self.fleet.arrived(name, call.tokens, call.max_tokens, now);
+        }
+    }
+
     pub(super) fn request_ended(&mut self, ticket: TicketKey) {
+        self.holding.leave(&ticket);
         let Some(ticket) = self.tickets.remove(ticket) else {
             return;
         };
--- a/crates/router/src/control/messages.rs
+++ b/crates/router/src/control/messages.rs
@@ -76,6 +76,8 @@
     pub call: CallName,
     /// Prompt tokens; zero for a service.
     pub tokens: u64,
+    /// Tokens to generate.
+    pub max_tokens: u64,
     /// Digest of the request's content.
     pub content: Digest,
 }
@@ -100,6 +102,8 @@
 /// Asks for an endpoint.
 #[derive(Debug, Clone)]
 pub struct RouteCall {
+    /// The request.
+    pub ticket: TicketKey,
     /// What it asks of the endpoint.
     pub want: Want,
     /// Identifies the request.
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -31,6 +31,7 @@
 use briarhall_policy::fleet::AttemptKey;
 use briarhall_policy::fleet::EndpointKey;
 use briarhall_policy::fleet::Fleet;
+use briarhall_policy::holding::Holding;
 use briarhall_policy::members::Members;
 use briarhall_policy::retry::RetryBudget;
 use briarhall_policy::sharer::CallKey;
@@ -102,6 +103,7 @@
     draining: bool,
     acceptance: Acceptance,
     fleet: Fleet,
+    holding: Holding<TicketKey>,
     running: HashMap<AttemptKey, Running>,
     suspects: Suspects,
     retries: RetryBudget,
@@ -140,6 +142,7 @@
             draining: false,
             acceptance: Acceptance::default(),
             fleet,
+            holding: Holding::default(),
             running: HashMap::new(),
             suspects: Suspects::default(),
             retries: RetryBudget::default(),
--- a/crates/router/src/control/route.rs
+++ b/crates/router/src/control/route.rs
@@ -5,9 +5,13 @@
 use std::time::SystemTime;
 
 use briarhall_policy::fleet::AttemptKey;
+use briarhall_policy::fleet::Choice;
 use briarhall_policy::fleet::EndpointKey;
 use briarhall_policy::fleet::NoEndpoint;
+use briarhall_policy::fleet::Openings;
+use briarhall_policy::fleet::Policy;
 use briarhall_policy::fleet::Want;
+use briarhall_policy::fleet::is_long;
 use briarhall_policy::gang;
 use briarhall_policy::gang::NoGang;
 use briarhall_policy::gang::Part;
@@ -31,8 +35,16 @@
 const ALL_DOWN_RETRY: Duration = Duration::from_millis(200);
 /// When a request that found the retry budget spent is tried again.
 const BUDGET_RETRY: Duration = Duration::from_millis(500);
-/// Tokens of prefill a second, to turn lengths into allowances of time.
+/// Time between two looks of a long prompt that waits for an engine.
+const HOLD_PAUSE: Duration = Duration::from_millis(20);
+/// Prefill rate taken where none is told, in tokens a second.
 const ALLOWANCE_RATE: u64 = 10_000;
+/// Among long prompts that wait, how much more time than its prefill each is
+/// allowed where short requests weigh more.
+const HOLD_FACTOR: u64 = 2;
+/// How much more time than its prefill a prompt is allowed where all lengths
+/// weigh alike.
+const ALIKE_FACTOR: u64 = 4;
 /// How much more time than its prefill a prompt is allowed where short
 /// requests weigh more.
 const SHORT_FIRST_FACTOR: u64 = 8;
@@ -43,17 +55,12 @@
         if suspicion == Some(Suspicion::Convicted) {
             return Err(NoRoute::Refused(convicted()));
         }
+        let choice = self.choose(call, now)?;
         if call.is_retry && !self.retries.spend() {
             self.metrics.count("retry.budget_spent");
             return Err(NoRoute::NotNow(BUDGET_RETRY));
         }
-        let choice = self.fleet.choose(&call.want, &mut self.rng, now);
-        let choice = choice.map_err(|e| no_endpoint(e, &call.want))?;
-        if !call.is_retry {
-            self.retries.earn();
-            self.fleet.arrived(&call.want, now);
-            check_time(choice.first_token, call.time_left)?;
-        }
+        self.holding.leave(&call.ticket);
         let attempt = self.fleet.sent(choice.key, &call.want, now);
         let on_probation = suspicion == Some(Suspicion::Suspect);
         self.running.insert(
@@ -64,25 +71,73 @@
                 on_probation,
             },
         );
+        let priority = self.priority(&call.want, choice.record.prefill_rate);
         Ok(Routed {
             attempt,
             endpoint: choice.key,
             record: choice.record,
             on_probation,
-            priority: priority(&call.want),
+            priority,
         })
     }
 
+    fn choose(&mut self, call: &RouteCall, now: Instant) -> Result<Choice, NoRoute> {
+        if self.settings.policy == Policy::Lanes && is_long(call.want.tokens) {
+            return self.choose_open(call, now);
+        }
+        let choice = self.fleet.choose(&call.want, &mut self.rng, now);
+        let choice = choice.map_err(|e| no_endpoint(e, &call.want))?;
+        if !call.is_retry {
+            check_time(choice.first_token, call.time_left)?;
+        }
+        Ok(choice)
+    }
+
+    /// A long prompt waits here until an engine is open and its turn has come.
+    fn choose_open(&mut self, call: &RouteCall, now: Instant) -> Result<Choice, NoRoute> {
+        let openings = self.fleet.openings(&call.want, now);
+        let openings = openings.map_err(|e| no_endpoint(e, &call.want))?;
+        if !call.is_retry && !self.holding.contains(&call.ticket) {
+            check_time(self.wait_for_opening(call, &openings, now), call.time_left)?;
+        }
+        let rate = openings
+            .best
+            .as_ref()
+            .map_or(0, |best| best.record.prefill_rate);
+        let factor = match call.want.objective {
+            Objective::ShortSlowdown => HOLD_FACTOR,
+            Objective::FirstToken => 1,
+        };
+        let deadline = virtual_deadline(call.want.tokens * factor, rate);
+        self.holding.enter(call.ticket, deadline, call.want.tokens);
+        match openings.best {
+            Some(choice) if self.holding.may_go(&call.ticket, openings.open) => Ok(choice),
+            _ => Err(NoRoute::NotNow(HOLD_PAUSE)),
+        }
+    }
+
+    /// Predicts the time to the first token from all that waits, taking the
+    /// other routers for as busy as this one.
+    fn wait_for_opening(&self, call: &RouteCall, openings: &Openings, now: Instant) -> Duration {
+        let routers = self.members.serving(now).count().max(1) as u64;
+        let waiting = self.holding.tokens() * routers + openings.queued;
+        let rate = openings.rate.max(ALLOWANCE_RATE);
+        Duration::from_millis((waiting + call.want.tokens) * 1_000 / rate)
+    }
+
     pub(super) fn gang(&mut self, call: &RouteCall, now: Instant) -> Result<GangPlan, NoGang> {
         let rooms = self.fleet.rooms(&call.want, now);
         let total = call.want.tokens + call.want.max_tokens;
         let parts = gang::choose(&rooms, total)?;
+        let lead = parts.first().and_then(|part| self.fleet.record(part.key));
+        let rate = lead.map_or(0, |record| record.prefill_rate);
+        let priority = self.priority(&call.want, rate * parts.len() as u64);
         let parts = parts
             .into_iter()
             .filter_map(|part| self.gang_part(call, &part, now));
         Ok(GangPlan {
             parts: parts.collect(),
-            priority: priority(&call.want),
+            priority,
         })
     }
 
@@ -110,6 +165,18 @@
         })
     }
 
+    /// A virtual deadline in milliseconds since the epoch; engines run the
+    /// earliest first. A long prompt is allowed more time, so short ones pass
+    /// it, yet it rises as it waits. The baselines serve in order of arrival.
+    fn priority(&self, want: &Want, rate: u64) -> i64 {
+        let factor = match (self.settings.policy, want.objective) {
+            (Policy::Lanes, Objective::ShortSlowdown) => SHORT_FIRST_FACTOR,
+            (Policy::Lanes, Objective::FirstToken) => ALIKE_FACTOR,
+            _ => 0,
+        };
+        virtual_deadline(want.tokens * factor, rate)
+    }
+
     pub(super) fn attempt_ended(&mut self, key: AttemptKey, end: AttemptEnd, now: Instant) {
         let running = self.running.get(&key).copied();
         if let Some(running) = running {
@@ -173,16 +240,12 @@
     }
 }
 
-/// A virtual deadline in milliseconds since the epoch; engines run the earliest
-/// first. A long prompt is allowed more time, so short ones pass it, yet it
-/// rises as it waits.
-fn priority(want: &Want) -> i64 {
+/// Milliseconds since the epoch by which `tokens` tokens would be prefilled at
+/// `rate` tokens a second, had they begun now.
+fn virtual_deadline(tokens: u64, rate: u64) -> i64 {
     let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let now = now.unwrap_or_default().as_millis();
-    let factor = match want.objective {
-        Objective::ShortSlowdown => SHORT_FIRST_FACTOR,
-        Objective::FirstToken => 1,
-    };
-    let allowance = want.tokens * factor * 1_000 / ALLOWANCE_RATE;
+    let rate = if rate == 0 { ALLOWANCE_RATE } else { rate };
+    let allowance = tokens * 1_000 / rate;
     i64::try_from(now + u128::from(allowance)).unwrap_or(i64::MAX)
 }
--- a/crates/router/src/traffic/completions.rs
+++ b/crates/router/src/traffic/completions.rs
@@ -94,6 +94,7 @@
             key,
             call: CallName::Model(CompactString::from(req.model.as_str())),
             tokens: req.tokens,
+            max_tokens: req.max_tokens,
             content,
         };
         let admitted = self.control.ask(|reply| Msg::Admit(call, reply)).await?;
@@ -335,6 +336,7 @@
 impl Job {
     pub(super) fn route_call(&self) -> RouteCall {
         RouteCall {
+            ticket: self.admitted.ticket,
             want: Want {
                 serves: CompactString::from(self.req.model.as_str()),
                 tokens: self.req.tokens,
--- a/crates/router/src/traffic/services.rs
+++ b/crates/router/src/traffic/services.rs
@@ -91,6 +91,7 @@
             key,
             call: CallName::Service(service.clone()),
             tokens: 0,
+            max_tokens: 0,
             content,
         };
         let admitted = self.control.ask(|reply| Msg::Admit(call, reply)).await?;
@@ -236,6 +237,7 @@
 
     async fn routed_service(&self, job: &mut ServiceJob) -> Result<Routed, NoRoute> {
         let call = RouteCall {
+            ticket: job.admitted.ticket,
             want: Want {
                 serves: job.service.clone(),
                 tokens: 0,
--- a/crates/standins/src/bin/standin-engine.rs
+++ b/crates/standins/src/bin/standin-engine.rs
@@ -17,6 +17,9 @@
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
 
+/// A long prompt is read on one thread while the other keeps the engine's time.
+const THREADS: usize = 2;
+
 /// stand-in for a model engine, for tests and the lab
 #[derive(Debug, FromArgs)]
 struct Args {
@@ -53,7 +56,7 @@
         checks_fencing: args.checks_fencing,
         lost_events_percent: args.lost_events,
     };
-    let started = run(args.listen, 1, |listener, executor| {
+    let started = run(args.listen, THREADS, |listener, executor| {
         let handler = EngineHandler::new(options, &executor);
         executor.detach(handler.clone().run_clock());
         serve(listener, executor, ServerOptions::default(), handler)
