Signs of life while a request waits; retries that a quiet router can still make

And innocent requests beside a crashing one ran into their deadline: refusals of the probation lock were charged to the retry budget, and a router without new traffic never earned another retry.

What was done: the outlet shows signs of life wherever a request waits. A refusal before running gives its retry back; two retries a second are earned whatever the traffic. A body that is too long is read to its end before the refusal, so that its writer sees it; a body that does not arrive within 30 s is refused with 408. A duration without its unit is told so.

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -16,6 +16,8 @@
 use thiserror::Error;
 
 const CHANNEL_FRAMES: usize = 64;
+/// Bytes of a body that is too long that are read and dropped.
+const DISCARD_BYTES: usize = 64 * 1024 * 1024;
 
 /// The type of error a [`Body`] can give: the writer went away half-way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -161,9 +163,10 @@
     B: http_body::Body<Data = Bytes> + Unpin,
     B::Error: std::fmt::Display,
 {
-    let too_large = || BodyTooLarge::TooLarge { limit };
-    if body.size_hint().lower() > limit as u64 {
-        return Err(too_large());
+    let too_large = body.size_hint().lower() > limit as u64;
+    if too_large {
+        discard(body).await;
+        return Err(BodyTooLarge::TooLarge { limit });
     }
     let expected = usize::try_from(body.size_hint().lower()).unwrap_or(0);
     let mut buf = BytesMut::with_capacity(expected);
@@ -173,9 +176,26 @@
             continue;
         };
         if buf.len() + data.len() > limit {
-            return Err(too_large());
+            discard(body).await;
+            return Err(BodyTooLarge::TooLarge { limit });
         }
         buf.extend_from_slice(&data);
     }
     Ok(buf.freeze())
 }
+
+/// Reads on for a while and keeps nothing: a writer that is cut off in the
+/// middle may never see the answer.
+async fn discard<B>(mut body: B)
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+{
+    let mut left = DISCARD_BYTES;
+    while let Some(Ok(frame)) = body.frame().await {
+        let read = frame.data_ref().map_or(0, Bytes::len);
+        if read > left {
+            return;
+        }
+        left -= read;
+    }
+}
--- a/crates/policy/tests/claims.rs
+++ b/crates/policy/tests/claims.rs
@@ -25,7 +25,7 @@
 const KEYS: u8 = 4;
 const WINDOW: Duration = Duration::from_mins(10);
 /// Time limit of a request: its holder sends nothing later than this.
-const TIME_LIMIT: Duration = Duration::from_secs(60);
+const TIME_LIMIT: Duration = Duration::from_mins(1);
 /// Claims are kept this much longer than a contract's window.
 const MARGIN: Duration = Duration::from_mins(1);
 /// A listing misses what was written this lately, at the most.
@@ -200,7 +200,7 @@
     fn listing(&self, fate: Fate) -> Vec<(SegmentNumber, Segment)> {
         let stale = !matches!(fate, Fate::Answered);
         let as_of = if stale {
-            self.now - STALENESS
+            self.now.saturating_sub(STALENESS)
         } else {
             self.now
         };
--- a/crates/policy/tests/engines.rs
+++ b/crates/policy/tests/engines.rs
@@ -12,6 +12,7 @@
 use briarhall_policy::gang::NoGang;
 use briarhall_policy::gang::Room;
 use briarhall_policy::holding::Holding;
+use briarhall_policy::retry::RetryBudget;
 use briarhall_types::EndpointKind;
 use briarhall_types::EndpointRecord;
 use briarhall_types::EndpointState;
@@ -258,3 +259,24 @@
         );
     });
 }
+
+/// Whatever fails, retries stay within what first attempts earned.
+#[test]
+fn retries_never_amplify() {
+    briarhall_fuzz::histories(0..2_000, |ops: &[(bool, u8)]| {
+        let mut now = Instant::now();
+        let mut budget = RetryBudget::new(now);
+        let (mut first, mut retries, mut seconds) = (0.0, 0.0, 0.0);
+        for (is_first, millis) in ops {
+            now += Duration::from_millis(u64::from(*millis));
+            seconds += f64::from(*millis) / 1_000.0;
+            if *is_first {
+                budget.earn();
+                first += 1.0;
+            } else if budget.spend(now) {
+                retries += 1.0;
+            }
+            assert!(retries <= 10.0 + first * 0.1 + seconds * 2.0 + 1e-6);
+        }
+    });
+}
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -87,6 +87,7 @@
     endpoint: EndpointKey,
     fingerprint: Fingerprint,
     on_probation: bool,
+    is_retry: bool,
 }
 
 /// The control state of a router.
@@ -145,7 +146,7 @@
             holding: Holding::default(),
             running: HashMap::new(),
             suspects: Suspects::default(),
-            retries: RetryBudget::default(),
+            retries: RetryBudget::new(now),
             tickets: SlotMap::with_key(),
             uses: BTreeMap::new(),
             sharer: Sharer::default(),
--- a/crates/router/src/control/route.rs
+++ b/crates/router/src/control/route.rs
@@ -56,7 +56,7 @@
             return Err(NoRoute::Refused(convicted()));
         }
         let choice = self.choose(call, now)?;
-        if call.is_retry && !self.retries.spend() {
+        if call.is_retry && !self.retries.spend(now) {
             self.metrics.count("retry.budget_spent");
             return Err(NoRoute::NotNow(BUDGET_RETRY));
         }
@@ -69,6 +69,7 @@
                 endpoint: choice.key,
                 fingerprint: call.fingerprint,
                 on_probation,
+                is_retry: call.is_retry,
             },
         );
         let priority = self.priority(&call.want, choice.record.prefill_rate);
@@ -155,6 +156,7 @@
                 endpoint: part.key,
                 fingerprint: call.fingerprint,
                 on_probation: false,
+                is_retry: false,
             },
         );
         Some(GangPart {
@@ -182,8 +184,12 @@
         if let Some(running) = running {
             match end {
                 AttemptEnd::Done => self.suspects.cleared(&running.fingerprint),
-                AttemptEnd::GivenUp | AttemptEnd::Full => {}
-                AttemptEnd::Leaving => self.fleet.said_leaving(running.endpoint),
+                AttemptEnd::GivenUp => {}
+                AttemptEnd::Full => self.refused(running),
+                AttemptEnd::Leaving => {
+                    self.refused(running);
+                    self.fleet.said_leaving(running.endpoint);
+                }
                 AttemptEnd::Failed => self.fleet.failed(running.endpoint, now),
                 AttemptEnd::Died => {
                     self.fleet.failed(running.endpoint, now);
@@ -195,6 +201,13 @@
         self.fleet.ended(key);
     }
 
+    /// A refusal costs the endpoint nothing, so it costs no retry either.
+    fn refused(&mut self, running: Running) {
+        if running.is_retry {
+            self.retries.give_back();
+        }
+    }
+
     /// Everything this router ran there is judged at once; attempts that
     /// report the same death later are not there any more.
     fn endpoint_died(&mut self, endpoint: EndpointKey, now: Instant) {
--- a/crates/router/src/traffic/attempt.rs
+++ b/crates/router/src/traffic/attempt.rs
@@ -10,7 +10,6 @@
 use briarhall_endpoint::Lease;
 use briarhall_endpoint::Ran;
 use briarhall_endpoint::Refused;
-use briarhall_endpoint::StreamError;
 use briarhall_net::HttpError;
 use briarhall_policy::fleet::AttemptKey;
 use briarhall_types::AttemptId;
@@ -91,8 +90,38 @@
     outlet: &mut Outlet,
     deadline: Deadline,
 ) -> Ended {
-    let engines = &traffic.engines;
     let from = outlet.tokens();
+    let starting = start(&traffic.engines, attempt, from, deadline);
+    let ended = match attended(outlet, starting).await {
+        Ok(stream) => read(traffic, attempt, stream, outlet, deadline).await,
+        Err(ended) => ended,
+    };
+    if ended != Ended::Whole {
+        // The caller's answer does not wait for it.
+        let cancelling = cancel(traffic.engines.clone(), attempt.clone());
+        traffic.executor.detach(cancelling);
+    }
+    ended
+}
+
+/// Waits for a stream while the caller is shown signs of life.
+async fn attended<F>(outlet: &mut Outlet, stream: F) -> Result<EventStream, Ended>
+where
+    F: Future<Output = Result<EventStream, Ended>>,
+{
+    let gone = async {
+        outlet.attend().await;
+        Err(Ended::CallerGone)
+    };
+    future::or(stream, gone).await
+}
+
+async fn start(
+    engines: &EngineClient,
+    attempt: &Attempt,
+    from: u64,
+    deadline: Deadline,
+) -> Result<EventStream, Ended> {
     let started = engines.start(
         attempt.address,
         attempt.id,
@@ -101,25 +130,14 @@
         &attempt.lease,
         deadline.left_up_to(START_LIMIT),
     );
-    let stream = match started.await {
-        Ok(stream) => stream,
+    match started.await {
+        Ok(stream) => Ok(stream),
         Err(e) => match not_started(&e) {
+            Some(ended) => Err(ended),
             // It may have arrived after all: ask on another connection.
-            None => match reopen(engines, attempt, from, deadline).await {
-                Ok(stream) => stream,
-                Err(ended) => return ended,
-            },
-            Some(ended) => return ended,
+            None => reopen(engines, attempt, from, deadline).await,
         },
-    };
-    let ended = read(traffic, attempt, stream, outlet, deadline).await;
-    if ended != Ended::Whole {
-        // The caller's answer does not wait for it.
-        traffic
-            .executor
-            .detach(cancel(engines.clone(), attempt.clone()));
     }
-    ended
 }
 
 fn not_started(e: &EngineError) -> Option<Ended> {
@@ -161,11 +179,13 @@
             Ok(Event::Done) => return Ended::Whole,
             Err(None) => return Ended::CallerGone,
             Err(Some(e)) => {
-                if e == StreamError::Silent && outlet.keep_alive().await == Err(CallerGone) {
+                if outlet.sign_of_life().await == Err(CallerGone) {
                     return Ended::CallerGone;
                 }
                 log::debug!(attempt = attempt.id.to_string().as_str(), error = e.to_string().as_str(); "looking again");
-                match reopen(&traffic.engines, attempt, outlet.tokens(), deadline).await {
+                let from = outlet.tokens();
+                let reopening = reopen(&traffic.engines, attempt, from, deadline);
+                match attended(outlet, reopening).await {
                     Ok(reopened) => stream = reopened,
                     Err(ended) => return ended,
                 }
--- a/crates/router/src/traffic/completions.rs
+++ b/crates/router/src/traffic/completions.rs
@@ -329,7 +329,10 @@
             false
         };
         let gone = futures_lite::future::or(gone, rested).await;
-        if gone { Err(None) } else { Ok(()) }
+        if gone || outlet.sign_of_life().await.is_err() {
+            return Err(None);
+        }
+        Ok(())
     }
 }
 
--- a/crates/router/src/traffic/gang.rs
+++ b/crates/router/src/traffic/gang.rs
@@ -135,21 +135,22 @@
     }
 
     async fn run_gang(&self, job: &Job, plan: &GangPlan, outlet: &mut Outlet) -> GangEnd {
-        let held = match self.reserve_all(job, plan).await {
-            Ok(held) => held,
-            Err(end) => return end,
+        let working = async {
+            let held = self.reserve_all(job, plan).await?;
+            self.prefill_all(job, plan, &held).await?;
+            Ok(held)
         };
-        let working = async { self.prefill_all(job, plan, &held).await.err() };
         let gone = async {
-            outlet.caller_gone().await;
-            Some(GangEnd {
+            outlet.attend().await;
+            Err(GangEnd {
                 ended: Ended::CallerGone,
                 by: None,
             })
         };
-        if let Some(end) = future::or(working, gone).await {
-            return end;
-        }
+        let held = match future::or(working, gone).await {
+            Ok(held) => held,
+            Err(end) => return end,
+        };
         self.generate(job, plan, &held, outlet).await
     }
 
--- a/crates/router/src/traffic/outlet.rs
+++ b/crates/router/src/traffic/outlet.rs
@@ -3,8 +3,12 @@
 //! The head of a streamed answer is held back until its first token, but no
 //! longer than a second, so that a refusal can still be a plain HTTP status.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use async_channel::Receiver;
 use async_channel::Sender;
+use async_io::Timer;
 use briarhall_net::Body;
 use briarhall_net::BodySender;
 use briarhall_net::event;
@@ -14,6 +18,7 @@
 use briarhall_types::Problem;
 use briarhall_types::RequestId;
 use bytes::Bytes;
+use futures_lite::future;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::CONTENT_TYPE;
@@ -23,6 +28,8 @@
 use super::request::Completion;
 use super::request::Form;
 
+/// Time between two signs of life.
+const SIGN_EVERY: Duration = Duration::from_secs(1);
 const KEEP_ALIVE: &[u8] = b": keep-alive\n\n";
 const DONE: &[u8] = b"data: [DONE]\n\n";
 
@@ -40,6 +47,7 @@
     stream: Streaming,
     text: String,
     tokens: u64,
+    last_sign: Instant,
 }
 
 #[derive(Debug)]
@@ -107,6 +115,7 @@
             stream,
             text: String::new(),
             tokens: 0,
+            last_sign: Instant::now(),
         };
         (outlet, rx)
     }
@@ -135,14 +144,31 @@
         self.send(bytes).await
     }
 
-    /// Shows the caller that the request is alive.
-    pub async fn keep_alive(&mut self) -> Result<(), CallerGone> {
-        if matches!(self.stream, Streaming::No) {
+    /// Shows the caller that the request is alive, when it is time for that.
+    pub async fn sign_of_life(&mut self) -> Result<(), CallerGone> {
+        if matches!(self.stream, Streaming::No) || self.last_sign.elapsed() < SIGN_EVERY {
             return Ok(());
         }
         self.send(Bytes::from_static(KEEP_ALIVE)).await
     }
 
+    /// Shows signs of life until the caller goes away.
+    pub async fn attend(&mut self) -> CallerGone {
+        loop {
+            let gone = async {
+                self.caller_gone().await;
+                true
+            };
+            let due = async {
+                Timer::after(SIGN_EVERY).await;
+                false
+            };
+            if future::or(gone, due).await || self.sign_of_life().await.is_err() {
+                return CallerGone;
+            }
+        }
+    }
+
     /// Ends a whole answer.
     pub async fn finish(mut self) -> Result<(), CallerGone> {
         if matches!(self.stream, Streaming::No) {
@@ -177,6 +203,7 @@
     }
 
     async fn send(&mut self, bytes: Bytes) -> Result<(), CallerGone> {
+        self.last_sign = Instant::now();
         if matches!(self.stream, Streaming::HeadHeld) {
             self.open()?;
         }
--- a/crates/router/src/traffic/request.rs
+++ b/crates/router/src/traffic/request.rs
@@ -2,9 +2,12 @@
 
 use briarhall_net::BodyTooLarge;
 use briarhall_net::read_limited;
+use briarhall_net::timeout;
 use briarhall_types::Digest;
 use briarhall_types::Problem;
 use briarhall_types::estimate_tokens;
+use std::time::Duration;
+
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Request;
@@ -13,6 +16,8 @@
 use serde::Deserialize;
 
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Time for a body to arrive.
+const BODY_LIMIT: Duration = Duration::from_secs(30);
 const DEFAULT_MAX_TOKENS: u64 = 16;
 const MAX_MAX_TOKENS: u64 = 32_768;
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
@@ -130,15 +135,19 @@
 ///
 /// Returns a problem when it is too long or cut short.
 pub async fn body(req: Request<Incoming>) -> Result<Bytes, Problem> {
-    read_limited(req.into_body(), MAX_BODY_BYTES)
-        .await
-        .map_err(|e| match e {
-            BodyTooLarge::TooLarge { limit } => {
-                let detail = format!("the body is longer than {limit} bytes; send a shorter one");
-                Problem::not_run(413, "body-too-large", detail)
-            }
-            BodyTooLarge::Cut(reason) => bad_request(format!("the body was cut short: {reason}")),
-        })
+    let reading = read_limited(req.into_body(), MAX_BODY_BYTES);
+    let read = timeout(BODY_LIMIT, reading).await;
+    let read = read.map_err(|_e| {
+        let detail = "the body did not arrive in time; send it again";
+        Problem::not_run(408, "body-timeout", detail)
+    })?;
+    read.map_err(|e| match e {
+        BodyTooLarge::TooLarge { limit } => {
+            let detail = format!("the body is longer than {limit} bytes; send a shorter one");
+            Problem::not_run(413, "body-too-large", detail)
+        }
+        BodyTooLarge::Cut(reason) => bad_request(format!("the body was cut short: {reason}")),
+    })
 }
 
 /// Parses a completion request.
--- a/crates/settings/src/contract.rs
+++ b/crates/settings/src/contract.rs
@@ -103,6 +103,6 @@
 }
 
 fn required_duration(fields: &mut Fields<'_>, name: &'static str) -> Option<std::time::Duration> {
-    fields.required::<String>(name)?;
+    fields.required::<serde_json::Value>(name)?;
     fields.parsed(name, parse_duration)
 }
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -147,7 +147,11 @@
         F: FnOnce(&str) -> Result<T, E>,
         E: fmt::Display,
     {
-        let text = self.optional::<String>(name)?;
+        let text = match self.value(name)? {
+            Value::String(text) => text.clone(),
+            // Such as a number without its unit: the parser says what is missing.
+            value => value.to_string(),
+        };
         match parse(&text) {
             Ok(value) => Some(value),
             Err(e) => {
