Limits under flood, slopes of gossip, and what had no use removed

Cause: a contract's `weight` and a field for relayed load reports stood in the types and did nothing; a user would take them for working.

What was done: both removed. Cases for limits over routers added: the rate under a flood at three routers, its move to one of them, and requests in flight. `slopes` now also gives the bytes of one answer to a pull.

--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -14,7 +14,11 @@
 use briarhall_lab::site::SiteError;
 use briarhall_lab::site::SiteSpec;
 use briarhall_net::Call;
+use briarhall_policy::members::Heartbeat;
+use briarhall_policy::members::Members;
 use briarhall_types::Digest;
+use compact_str::CompactString;
+use compact_str::format_compact;
 use hyper::Method;
 use serde::Serialize;
 use serde_json::json;
@@ -31,6 +35,8 @@
 const CHANGES_PER_SECOND: [u64; 3] = [0, 5, 20];
 /// Part of the engines' capacity, for requests.
 const LOAD_PARTS: [f64; 3] = [0.05, 0.15, 0.3];
+/// Routers whose heartbeats one answer to a pull carries.
+const PULL_ROUTERS: [usize; 3] = [9, 90, 350];
 const SETTLE: Duration = Duration::from_secs(1);
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
@@ -73,9 +79,18 @@
     accepted_ms: f64,
 }
 
+/// Bytes of one answer to a pull, as it is encoded between routers.
+#[derive(Debug, Serialize)]
+struct PullBytes {
+    routers: [usize; 3],
+    bytes: Vec<usize>,
+    line: Option<Line>,
+}
+
 #[derive(Debug, Serialize)]
 struct Report {
     sweeps: Vec<Sweep>,
+    pull_bytes: PullBytes,
     in_force: Vec<InForce>,
 }
 
@@ -106,7 +121,46 @@
         by_changes(lab, seconds).await?,
         by_requests(lab, seconds).await?,
     ];
-    Ok(Report { sweeps, in_force })
+    Ok(Report {
+        sweeps,
+        pull_bytes: pull_bytes(),
+        in_force,
+    })
+}
+
+#[expect(clippy::cast_precision_loss, reason = "small numbers")]
+fn pull_bytes() -> PullBytes {
+    let bytes = PULL_ROUTERS.map(bytes_of_pull);
+    let points = PULL_ROUTERS.iter().zip(bytes);
+    let points = points.map(|(x, y)| Point {
+        x: *x as f64,
+        y: y as f64,
+    });
+    PullBytes {
+        routers: PULL_ROUTERS,
+        bytes: bytes.to_vec(),
+        line: line(&points.collect::<Vec<_>>()),
+    }
+}
+
+fn bytes_of_pull(routers: usize) -> usize {
+    let now = Instant::now();
+    let heartbeat = |n: usize| Heartbeat {
+        router: format_compact!("vancouver-a/{n:032}"),
+        counter: 100_000,
+        held: 1_000_000,
+        newest: 999_999,
+        caller_address: ([10, 0, 0, 1], 8_080).into(),
+        mesh_address: ([10, 0, 0, 1], 8_082).into(),
+        zone: CompactString::const_new("vancouver-a"),
+        draining: false,
+    };
+    let mut members = Members::new(heartbeat(0).router);
+    members.beat(heartbeat(0), now);
+    for n in 1..routers {
+        members.pushed(heartbeat(n), now);
+    }
+    serde_json::to_vec(&members.answer(now)).map_or(0, |text| text.len())
 }
 
 async fn by_routers(
@@ -236,7 +290,6 @@
             "customer": customer,
             "key_digests": [Digest::of(customer.as_bytes())],
             "objective": "first-token",
-            "weight": 1,
             "idempotency_window": "10m",
             "models": [{
                 "name": "harbour",
@@ -393,6 +446,11 @@
             }
         }
     }
+    let pulls = &report.pull_bytes;
+    println!(
+        "answer to a pull: {:?} bytes for {:?} routers",
+        pulls.bytes, pulls.routers
+    );
     for time in &report.in_force {
         println!(
             "{} routers: held everywhere after {:.0} ms, accepted after {:.0} ms",
--- a/crates/lab/tests/tests/main.rs
+++ b/crates/lab/tests/tests/main.rs
@@ -8,5 +8,6 @@
 mod configuration;
 mod crashing_requests;
 mod leaving;
+mod limits;
 mod memory;
 mod streams;
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -15,7 +15,6 @@
 pub use messages::HeldResult;
 pub use messages::PullReply;
 pub use messages::PullRequest;
-pub use messages::RelayedLoad;
 pub use messages::ResultReply;
 pub use messages::ResultRequest;
 pub use messages::ShareReply;
--- a/crates/mesh/src/messages.rs
+++ b/crates/mesh/src/messages.rs
@@ -8,8 +8,6 @@
 use briarhall_policy::sharer::Demand;
 use briarhall_policy::sharer::Grant;
 use briarhall_policy::suspects::Notice;
-use briarhall_types::EndpointName;
-use briarhall_types::LoadReport;
 use briarhall_types::Outcome;
 use briarhall_types::Revision;
 use briarhall_types::RouterName;
@@ -34,19 +32,6 @@
     pub update: Option<Update>,
     /// Requests convicted of crashing engines.
     pub convictions: Vec<Notice>,
-    /// Load reports it has read itself.
-    pub loads: Vec<RelayedLoad>,
-}
-
-/// A load report passed on.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct RelayedLoad {
-    /// The endpoint.
-    pub endpoint: EndpointName,
-    /// Milliseconds since it was read.
-    pub age_ms: u64,
-    /// The report.
-    pub report: LoadReport,
 }
 
 /// Asks the preferred writer of a chain to write a claim.
--- a/crates/policy/tests/in_force.rs
+++ b/crates/policy/tests/in_force.rs
@@ -274,7 +274,6 @@
             customer: CompactString::const_new("tidewire"),
             key_digests: Vec::new(),
             objective: Objective::FirstToken,
-            weight: 1,
             idempotency_window: Duration::from_mins(10),
             models: Vec::new(),
             services: Vec::new(),
--- a/crates/router/src/control/gossip.rs
+++ b/crates/router/src/control/gossip.rs
@@ -82,7 +82,6 @@
             answer: self.members.answer(now),
             update,
             convictions: self.suspects.convictions(now),
-            loads: Vec::new(),
         }
     }
 }
--- a/crates/settings/src/contract.rs
+++ b/crates/settings/src/contract.rs
@@ -12,7 +12,6 @@
 use crate::Fields;
 use crate::Findings;
 
-const DEFAULT_WEIGHT: u32 = 1;
 const DEFAULT_WINDOW: &str = "10m";
 
 /// Reads a contract from a file and checks it whole.
@@ -44,7 +43,6 @@
     let customer = fields.required("customer");
     let key_digests = fields.required("key_digests");
     let objective = fields.optional("objective").unwrap_or_default();
-    let weight = fields.optional("weight").unwrap_or(DEFAULT_WEIGHT);
     let window = fields.parsed("idempotency_window", parse_duration);
     let models = fields.list("models").into_iter().map(take_model);
     let models = models.collect::<Vec<_>>();
@@ -54,7 +52,6 @@
         customer: customer?,
         key_digests: key_digests?,
         objective,
-        weight,
         idempotency_window: window.or_else(|| parse_duration(DEFAULT_WINDOW).ok())?,
         models: models.into_iter().collect::<Option<_>>()?,
         services: services.into_iter().collect::<Option<_>>()?,
--- a/crates/types/src/contract.rs
+++ b/crates/types/src/contract.rs
@@ -15,7 +15,6 @@
 const MAX_TIME_LIMIT: Duration = Duration::from_hours(1);
 const MIN_TIME_LIMIT: Duration = Duration::from_millis(100);
 const MAX_NAME_LEN: usize = 63;
-const MAX_WEIGHT: u32 = 1_000;
 
 /// Which measure a customer weighs more.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -82,9 +81,6 @@
     /// Which measure weighs more.
     #[serde(default)]
     pub objective: Objective,
-    /// Share of the fleet under contention, against other customers.
-    #[serde(default = "default_weight")]
-    pub weight: u32,
     /// How long an idempotency key is remembered.
     #[serde(with = "duration_text", default = "default_window")]
     pub idempotency_window: Duration,
@@ -96,10 +92,6 @@
     pub services: Vec<ServiceTerms>,
 }
 
-fn default_weight() -> u32 {
-    1
-}
-
 fn default_window() -> Duration {
     Duration::from_mins(10)
 }
@@ -137,7 +129,6 @@
                 "needs at least one digest; print one with `briarhall key digest`",
             );
         }
-        checker.range("weight", u64::from(self.weight), 1, u64::from(MAX_WEIGHT));
         if self.models.is_empty() && self.services.is_empty() {
             checker.add(
                 "models",
