--- a/crates/lab/src/caller/completion.rs
+++ b/crates/lab/src/caller/completion.rs
@@ -19,6 +19,7 @@
 use serde_json::json;
 
 use super::Caller;
+use super::Verdict;
 use crate::site::MODEL;
 
 /// Silence after which a caller gives a connection up.
@@ -44,23 +45,6 @@
     }
 }
 
-/// What a caller may conclude.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Verdict {
-    /// The whole answer, as it should be.
-    Answered,
-    /// A refusal that says nothing ran, with its status.
-    NotRun(u16),
-    /// It may have run.
-    Unknown(u16),
-    /// No final answer came: the connection broke or fell silent, and the
-    /// caller may send again.
-    Lost(String),
-    /// Part of another request's answer came, or a token twice, or one is
-    /// missing.
-    Crossed,
-}
-
 /// A verdict and when its parts came.
 #[derive(Debug, Clone)]
 pub struct Answer {
--- a/crates/lab/src/caller/mod.rs
+++ b/crates/lab/src/caller/mod.rs
@@ -4,6 +4,7 @@
 mod addresses;
 mod completion;
 mod topup;
+mod verdict;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,11 +14,10 @@
 pub use addresses::AddressBook;
 pub use completion::Answer;
 pub use completion::CompletionPlan;
-pub use completion::Verdict;
 pub use completion::complete;
 pub use topup::TopUp;
-pub use topup::TopUpVerdict;
 pub use topup::top_up;
+pub use verdict::Verdict;
 
 /// Who calls, and through what.
 #[derive(Debug, Clone)]
--- a/crates/lab/src/caller/topup.rs
+++ b/crates/lab/src/caller/topup.rs
@@ -12,30 +12,16 @@
 use serde_json::json;
 
 use super::Caller;
+use super::Verdict;
 use crate::site::SERVICE;
 
 const MAX_REPLY_BYTES: usize = 256 * 1024;
 
-/// What a caller may conclude.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum TopUpVerdict {
-    /// The receipt came.
-    Answered,
-    /// A refusal that says nothing ran, with its status.
-    NotRun(u16),
-    /// It may have run.
-    Unknown(u16),
-    /// No final answer came.
-    Lost(String),
-    /// Another call's receipt came.
-    Crossed,
-}
-
 /// A verdict and how long it took.
 #[derive(Debug, Clone)]
 pub struct TopUp {
     /// The verdict.
-    pub verdict: TopUpVerdict,
+    pub verdict: Verdict,
     /// Time to the end.
     pub total: Duration,
 }
@@ -51,7 +37,7 @@
     let exchange = exchange(caller, call, key, body.to_string());
     let verdict = match timeout(caller.patience, exchange).await {
         Ok(verdict) => verdict,
-        Err(_elapsed) => TopUpVerdict::Lost("no final answer in time".to_owned()),
+        Err(_elapsed) => Verdict::Lost("no final answer in time".to_owned()),
     };
     TopUp {
         verdict,
@@ -59,25 +45,25 @@
     }
 }
 
-async fn exchange(caller: &Caller, call: Call, key: &str, sent: String) -> TopUpVerdict {
+async fn exchange(caller: &Caller, call: Call, key: &str, sent: String) -> Verdict {
     let reply = match caller.client.send(call, caller.call_limit).await {
         Ok(reply) => reply,
-        Err(e) => return TopUpVerdict::Lost(e.to_string()),
+        Err(e) => return Verdict::Lost(e.to_string()),
     };
     let status = reply.status().as_u16();
     let outcome = reply.headers().get(Outcome::HEADER);
     let outcome = outcome.and_then(|v| Outcome::from_text(v.to_str().ok()?));
     let text = match read_limited(reply.into_body(), MAX_REPLY_BYTES).await {
         Ok(text) => text,
-        Err(e) => return TopUpVerdict::Lost(e.to_string()),
+        Err(e) => return Verdict::Lost(e.to_string()),
     };
     match outcome {
         Some(Outcome::Answered) => match serde_json::from_slice::<Receipt>(&text) {
-            Ok(receipt) if receipt.key == key && receipt.echo == sent => TopUpVerdict::Answered,
-            _ => TopUpVerdict::Crossed,
+            Ok(receipt) if receipt.key == key && receipt.echo == sent => Verdict::Answered,
+            _ => Verdict::Crossed,
         },
-        Some(Outcome::NotRun) => TopUpVerdict::NotRun(status),
-        Some(Outcome::Unknown) => TopUpVerdict::Unknown(status),
-        None => TopUpVerdict::Lost("an answer without an outcome".to_owned()),
+        Some(Outcome::NotRun) => Verdict::NotRun(status),
+        Some(Outcome::Unknown) => Verdict::Unknown(status),
+        None => Verdict::Lost("an answer without an outcome".to_owned()),
     }
 }
--- a/crates/lab/src/claims.rs
+++ b/crates/lab/src/claims.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use briarhall_lab::caller::TopUpVerdict;
+use briarhall_lab::caller::Verdict;
 use briarhall_lab::caller::top_up;
 use briarhall_lab::run::Lab;
 use briarhall_lab::site::CustomerSpec;
@@ -101,10 +101,19 @@
         ..SiteSpec::default()
     };
     let site = Site::start(spec, lab.client.clone()).await?;
-    site.apply_contracts(&[CustomerSpec::tidewire()])?;
+    site.apply_contracts(&[customer()])?;
     Ok(site)
 }
 
+/// A customer whose limits do not come into play.
+fn customer() -> CustomerSpec {
+    CustomerSpec {
+        requests_per_second: 1_000_000,
+        in_flight: 100_000,
+        ..CustomerSpec::tidewire()
+    }
+}
+
 /// Tops up again and again; returns how many were answered and refused.
 async fn call_until(
     lab: Lab,
@@ -112,7 +121,7 @@
     number: usize,
     end: Instant,
 ) -> (u64, u64) {
-    let caller = lab.caller(&CustomerSpec::tidewire());
+    let caller = lab.caller(&customer());
     let (mut answered, mut refused) = (0, 0);
     let mut turn = number;
     while Instant::now() < end {
@@ -120,7 +129,7 @@
         let key = format!("claim-{number}-{turn}");
         let reply = top_up(&caller, addresses[turn % addresses.len()], &key).await;
         match reply.verdict {
-            TopUpVerdict::Answered => answered += 1,
+            Verdict::Answered => answered += 1,
             _ => refused += 1,
         }
     }
--- a/crates/lab/src/counts.rs
+++ b/crates/lab/src/counts.rs
@@ -9,7 +9,6 @@
 
 use crate::caller::Answer;
 use crate::caller::TopUp;
-use crate::caller::TopUpVerdict;
 use crate::caller::Verdict;
 use crate::site::Site;
 use crate::site::SiteError;
@@ -149,21 +148,19 @@
                 counts.note(format!("{key} had {effects} effects"));
             }
         }
-        let mut by_key = BTreeMap::<&str, Vec<&TopUpVerdict>>::new();
+        let mut by_key = BTreeMap::<&str, Vec<&Verdict>>::new();
         for record in &self.top_ups {
             let verdicts = by_key.entry(&record.key).or_default();
             verdicts.push(&record.top_up.verdict);
         }
         for (key, verdicts) in by_key {
             let ran = effects.contains_key(key);
-            let denied = verdicts
-                .iter()
-                .all(|v| matches!(v, TopUpVerdict::NotRun(_)));
+            let denied = verdicts.iter().all(|v| matches!(v, Verdict::NotRun(_)));
             if ran && denied {
                 counts.untrue_refusals += 1;
                 counts.note(format!("{key} ran and was said not to"));
             }
-            let answered = verdicts.iter().any(|v| matches!(v, TopUpVerdict::Answered));
+            let answered = verdicts.iter().any(|v| matches!(v, Verdict::Answered));
             if answered && !ran {
                 counts.crossed += 1;
                 counts.note(format!("{key} was answered and had no effect"));
@@ -223,7 +220,7 @@
     #[must_use]
     pub fn top_up_ms(&self) -> Option<Percentiles> {
         let answered = self.top_ups.iter();
-        let answered = answered.filter(|r| r.top_up.verdict == TopUpVerdict::Answered);
+        let answered = answered.filter(|r| r.top_up.verdict == Verdict::Answered);
         percentiles(answered.map(|record| record.top_up.total))
     }
 }
@@ -254,14 +251,14 @@
 fn count_top_up(counts: &mut Counts, record: &TopUpRecord) {
     counts.requests += 1;
     match &record.top_up.verdict {
-        TopUpVerdict::Answered => counts.answered += 1,
-        TopUpVerdict::NotRun(_) => counts.not_run += 1,
-        TopUpVerdict::Unknown(_) => counts.unknown += 1,
-        TopUpVerdict::Lost(reason) => {
+        Verdict::Answered => counts.answered += 1,
+        Verdict::NotRun(_) => counts.not_run += 1,
+        Verdict::Unknown(_) => counts.unknown += 1,
+        Verdict::Lost(reason) => {
             counts.lost += 1;
             counts.note(format!("top-up {} was lost: {reason}", record.key));
         }
-        TopUpVerdict::Crossed => {
+        Verdict::Crossed => {
             counts.crossed += 1;
             counts.note(format!("top-up {} got a wrong receipt", record.key));
         }
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -15,7 +15,6 @@
 use crate::caller::AddressBook;
 use crate::caller::Caller;
 use crate::caller::CompletionPlan;
-use crate::caller::TopUpVerdict;
 use crate::caller::Verdict;
 use crate::caller::complete;
 use crate::caller::top_up;
@@ -158,7 +157,7 @@
         loop {
             let address = self.address().await;
             let top_up = top_up(&self.caller, address, &key).await;
-            if !self.sends_again(started, matches!(top_up.verdict, TopUpVerdict::Lost(_))) {
+            if !self.sends_again(started, matches!(top_up.verdict, Verdict::Lost(_))) {
                 return TopUpRecord { key, top_up };
             }
         }
--- a/crates/lab/tests/tests/at_most_once.rs
+++ b/crates/lab/tests/tests/at_most_once.rs
@@ -1,6 +1,6 @@
 //! Calls that must not run twice, with real processes under failure.
 
-use briarhall_lab::caller::TopUpVerdict;
+use briarhall_lab::caller::Verdict;
 use briarhall_lab::site::CustomerSpec;
 use briarhall_lab::site::SiteSpec;
 use briarhall_standins::platform::Faults;
@@ -51,7 +51,7 @@
     ];
     let effects = bench.effects(key).await;
     assert!(effects <= 1, "{effects} effects, {verdicts:?}");
-    let not_run = |v: &TopUpVerdict| matches!(v, TopUpVerdict::NotRun(_));
+    let not_run = |v: &Verdict| matches!(v, Verdict::NotRun(_));
     if verdicts[1..].iter().all(not_run) {
         assert_eq!(effects, 0, "{verdicts:?}");
     }
@@ -96,7 +96,7 @@
             let key = format!("at-once-{round}");
             let sent = (0..3).map(|router| bench.send_top_up(router, &key)).collect::<Vec<_>>();
             for task in sent {
-                assert_eq!(task.await.verdict, TopUpVerdict::Answered);
+                assert_eq!(task.await.verdict, Verdict::Answered);
             }
             assert_eq!(bench.effects(&key).await, 1);
         }
@@ -131,15 +131,12 @@
             let effects = bench.effects(key).await;
             assert!(effects <= 1, "{key}: {effects} effects");
             match verdict {
-                TopUpVerdict::Answered => {
+                Verdict::Answered => {
                     answered += 1;
                     assert_eq!(effects, 1, "{key}");
                 }
-                TopUpVerdict::NotRun(_) => assert_eq!(effects, 0, "{key}"),
-                other => assert!(
-                    matches!(other, TopUpVerdict::Unknown(_)),
-                    "{key}: {other:?}"
-                ),
+                Verdict::NotRun(_) => assert_eq!(effects, 0, "{key}"),
+                other => assert!(matches!(other, Verdict::Unknown(_)), "{key}: {other:?}"),
             }
         }
         assert!(answered >= 12, "only {answered} of 24 were answered");
@@ -160,10 +157,10 @@
         .expect("the platform answers");
     rest(2_500).await;
     let verdict = bench.send_top_up(0, "down").await.verdict;
-    assert_eq!(verdict, TopUpVerdict::NotRun(503));
+    assert_eq!(verdict, Verdict::NotRun(503));
     assert_eq!(bench.effects("down").await, 0);
     let answer = bench.send(1, plan(1, 2_000, 8)).await;
-    assert_eq!(answer.verdict, briarhall_lab::caller::Verdict::Answered);
+    assert_eq!(answer.verdict, Verdict::Answered);
     let faults = Faults::default();
     bench
         .site
@@ -172,7 +169,7 @@
         .expect("the platform answers");
     rest(500).await;
     let verdict = bench.send_top_up(2, "down").await.verdict;
-    assert_eq!(verdict, TopUpVerdict::Answered);
+    assert_eq!(verdict, Verdict::Answered);
     assert_eq!(bench.effects("down").await, 1);
 }
 
@@ -216,7 +213,7 @@
         rest(500).await;
         let effects = bench.effects("paused").await;
         assert!(effects <= 1, "{effects} effects, {paused:?}, {other:?}");
-        let denied = |v: &TopUpVerdict| matches!(v, TopUpVerdict::NotRun(_));
+        let denied = |v: &Verdict| matches!(v, Verdict::NotRun(_));
         if denied(&paused) && denied(&other) {
             assert_eq!(effects, 0);
         }
@@ -235,11 +232,11 @@
             })
             .await;
         let first = bench.send_top_up(0, "silent-service").await.verdict;
-        assert!(matches!(first, TopUpVerdict::Unknown(_)), "{first:?}");
+        assert!(matches!(first, Verdict::Unknown(_)), "{first:?}");
         bench.service_faults(ServiceFaults::default()).await;
         for router in 0..3 {
             let again = bench.send_top_up(router, "silent-service").await.verdict;
-            assert!(matches!(again, TopUpVerdict::Unknown(_)), "{again:?}");
+            assert!(matches!(again, Verdict::Unknown(_)), "{again:?}");
         }
         assert_eq!(bench.effects("silent-service").await, 1);
     }
@@ -256,9 +253,9 @@
             ..plan(9, 1_000, 8)
         };
         let first = bench.send(0, once.clone()).await.verdict;
-        assert_eq!(first, briarhall_lab::caller::Verdict::Answered);
+        assert_eq!(first, Verdict::Answered);
         let again = bench.send(1, once).await.verdict;
-        assert_eq!(again, briarhall_lab::caller::Verdict::Unknown(409));
+        assert_eq!(again, Verdict::Unknown(409));
         let ledgers = bench.site.ledgers().await.expect("the engines answer");
         assert_eq!(ledgers.iter().map(|l| l.started).sum::<u64>(), 1);
     }
--- a/crates/lab/tests/tests/crashing_requests.rs
+++ b/crates/lab/tests/tests/crashing_requests.rs
@@ -10,7 +10,7 @@
 use crate::common::rest;
 
 /// Engines that one such request may cost the fleet.
-const MOST_DEATHS: usize = 3;
+const MOST_DEATHS: usize = 2;
 
 fn spec() -> SiteSpec {
     SiteSpec {
@@ -36,7 +36,7 @@
 site_test!(
     /// Its caller sends it to router after router; whoever ran beside it is
     /// answered.
-    crashes_three_engines_at_the_most,
+    crashes_two_engines_at_the_most,
     spec(),
     CustomerSpec::tidewire(),
     async |bench: &mut Bench| {
--- a/crates/lab/tests/tests/limits.rs
+++ b/crates/lab/tests/tests/limits.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use async_executor::Task;
-use briarhall_lab::caller::TopUpVerdict;
+use briarhall_lab::caller::Verdict;
 use briarhall_lab::caller::top_up;
 use briarhall_lab::site::CustomerSpec;
 use briarhall_lab::site::SiteSpec;
@@ -44,8 +44,8 @@
                 number += 1;
                 let key = format!("flood-{router}-{caller_number}-{seconds}-{number}");
                 match top_up(&caller, address, &key).await.verdict {
-                    TopUpVerdict::Answered => answered += 1,
-                    TopUpVerdict::NotRun(429) => rest(5).await,
+                    Verdict::Answered => answered += 1,
+                    Verdict::NotRun(429) => rest(5).await,
                     other => panic!("{other:?}"),
                 }
             }
--- a/crates/policy/benches/decisions.rs
+++ b/crates/policy/benches/decisions.rs
@@ -213,11 +213,11 @@
         }
         loop {
             match chain.step(now, 0) {
-                Step::Load => drop(chain.loaded(Vec::new())),
+                Step::Load => drop(chain.loaded(Vec::new(), now)),
                 Step::Write(..) => drop(chain.written(now)),
                 _ => break,
             }
         }
-        chain.forget_before(u64::MAX)
+        chain.trim(Instant::now())
     });
 }
--- a/crates/policy/src/claims/chain.rs
+++ b/crates/policy/src/claims/chain.rs
@@ -74,6 +74,8 @@
     synced: Option<Instant>,
     /// When the step under way was given out.
     asked: Option<Instant>,
+    /// Claims written before this time are remembered no longer.
+    start_ms: u64,
 }
 
 impl Default for Chain {
@@ -85,6 +87,7 @@
             waiting: VecDeque::new(),
             synced: None,
             asked: None,
+            start_ms: 0,
         }
     }
 }
@@ -102,7 +105,8 @@
 
     /// Returns what to do next, with claims batched into one segment.
     pub fn step(&mut self, now: Instant, now_ms: u64) -> Step {
-        if matches!(self.phase, Phase::Ready) && !self.is_synced(now, RESYNC_AFTER) {
+        let follows = matches!(self.phase, Phase::Ready | Phase::MustRead);
+        if follows && !self.is_synced(now, RESYNC_AFTER) {
             self.phase = Phase::NotLoaded;
         }
         self.asked = Some(now);
@@ -119,6 +123,7 @@
         let count = self.waiting.len().min(MAX_SEGMENT_CLAIMS);
         let segment = Segment {
             written_ms: now_ms,
+            forget_before_ms: self.start_ms,
             claims: self.waiting.iter().take(count).cloned().collect(),
         };
         self.phase = Phase::Writing(segment.clone());
@@ -131,13 +136,18 @@
     }
 
     /// Takes the whole chain, oldest first.
-    pub fn loaded(&mut self, segments: Vec<(SegmentNumber, Segment)>) -> Vec<Decided> {
-        self.window = Window::default();
+    pub fn loaded(
+        &mut self,
+        segments: Vec<(SegmentNumber, Segment)>,
+        now: Instant,
+    ) -> Vec<Decided> {
+        let before = std::mem::take(&mut self.window);
         self.next = 0;
         for (number, segment) in segments {
-            self.window.apply(number, &segment);
+            self.window.apply(number, &segment, now);
             self.next = number + 1;
         }
+        self.window.seen_before(&before);
         self.phase = Phase::Ready;
         self.synced = self.asked;
         self.decide()
@@ -153,7 +163,7 @@
             self.phase = Phase::NotLoaded;
             return self.void(&segment);
         }
-        self.advance(&segment);
+        self.advance(&segment, now);
         self.decide()
     }
 
@@ -186,8 +196,13 @@
     }
 
     /// The segment with the next number is this.
-    pub fn read(&mut self, segment: &Segment) -> Vec<Decided> {
-        self.advance(segment);
+    pub fn read(&mut self, segment: &Segment, now: Instant) -> Vec<Decided> {
+        if !self.is_synced(now, VOID_AFTER) {
+            // What has this number now need not follow what was held.
+            self.phase = Phase::NotLoaded;
+            return Vec::new();
+        }
+        self.advance(segment, now);
         // More may follow, but a write finds that out at no extra cost.
         self.phase = Phase::Ready;
         self.decide()
@@ -211,10 +226,16 @@
         ids
     }
 
-    /// Forgets claims made before `start_ms` and returns the segments that may
-    /// be deleted.
-    pub fn forget_before(&mut self, start_ms: u64) -> Vec<SegmentNumber> {
-        self.window.forget_before(start_ms)
+    /// Claims written before `start_ms` need not be remembered any more. The
+    /// next segment says so to every reader.
+    pub fn remember_from(&mut self, start_ms: u64) {
+        self.start_ms = self.start_ms.max(start_ms);
+    }
+
+    /// Returns the segments that the chain has forgotten and that may be
+    /// deleted.
+    pub fn trim(&mut self, now: Instant) -> Vec<SegmentNumber> {
+        self.window.trim(now)
     }
 
     /// Returns the number of claims that wait.
@@ -223,14 +244,14 @@
         self.waiting.len()
     }
 
-    fn advance(&mut self, segment: &Segment) {
-        self.window.apply(self.next, segment);
+    fn advance(&mut self, segment: &Segment, now: Instant) {
+        self.window.apply(self.next, segment, now);
         self.next += 1;
         self.synced = self.asked;
     }
 
     fn verdict(&self, claim: &Claim) -> Option<Verdict> {
-        let current = self.window.get(&claim.key)?;
+        let current = self.window.get(&claim.key, self.start_ms)?;
         if current.id == claim.id {
             return Some(Verdict::Granted);
         }
--- a/crates/policy/src/claims/window.rs
+++ b/crates/policy/src/claims/window.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
 
 use briarhall_types::Digest;
 use briarhall_types::RouterName;
@@ -22,17 +24,23 @@
     pub holder: RouterName,
 }
 
+/// A segment is deleted only this long after it was first seen. Whoever held
+/// its number for free by then does not any more.
+const SEEN_FOR: Duration = Duration::from_mins(1);
+
 #[derive(Debug)]
 struct Age {
     number: SegmentNumber,
     written_ms: u64,
-    keys: Vec<Digest>,
+    /// Its writer may have been paused, so its age says nothing of how long it
+    /// has been there.
+    seen: Instant,
 }
 
 #[derive(Debug)]
 struct Standing {
     claimed: Claimed,
-    number: SegmentNumber,
+    written_ms: u64,
 }
 
 /// The claims of one range that stand.
@@ -40,27 +48,40 @@
 pub(super) struct Window {
     standing: HashMap<Digest, Standing>,
     ages: VecDeque<Age>,
+    forget_before_ms: u64,
 }
 
 impl Window {
     /// Takes a segment in its turn.
-    pub(super) fn apply(&mut self, number: SegmentNumber, segment: &Segment) {
-        let mut keys = Vec::new();
+    pub(super) fn apply(&mut self, number: SegmentNumber, segment: &Segment, now: Instant) {
+        self.forget(segment.forget_before_ms);
+        let written_ms = segment.written_ms;
         for claim in &segment.claims {
             if self.stands(claim) {
                 let claimed = claimed(claim);
-                self.standing
-                    .insert(claim.key, Standing { claimed, number });
-                keys.push(claim.key);
+                let standing = Standing {
+                    claimed,
+                    written_ms,
+                };
+                self.standing.insert(claim.key, standing);
             }
         }
         self.ages.push_back(Age {
             number,
-            written_ms: segment.written_ms,
-            keys,
+            written_ms,
+            seen: now,
         });
     }
 
+    fn forget(&mut self, before_ms: u64) {
+        if before_ms <= self.forget_before_ms {
+            return;
+        }
+        self.forget_before_ms = before_ms;
+        self.standing
+            .retain(|_, standing| standing.written_ms >= before_ms);
+    }
+
     /// Returns whether a claim that comes next would stand.
     fn stands(&self, claim: &Claim) -> bool {
         match self.standing.get(&claim.key) {
@@ -69,26 +90,36 @@
         }
     }
 
-    pub(super) fn get(&self, key: &Digest) -> Option<&Claimed> {
-        self.standing.get(key).map(|standing| &standing.claimed)
+    /// Returns the claim on a key that stands, unless it is older than
+    /// `start_ms`: the next segment may then forget it.
+    pub(super) fn get(&self, key: &Digest, start_ms: u64) -> Option<&Claimed> {
+        let standing = self.standing.get(key)?;
+        (standing.written_ms >= start_ms).then_some(&standing.claimed)
     }
 
-    /// Forgets segments written before `start_ms` and returns their numbers.
+    /// Keeps in mind since when segments have been seen that were in another
+    /// window before.
+    pub(super) fn seen_before(&mut self, before: &Self) {
+        let seen = before.ages.iter().map(|age| (age.number, age.seen));
+        let seen = seen.collect::<HashMap<_, _>>();
+        for age in &mut self.ages {
+            age.seen = seen
+                .get(&age.number)
+                .map_or(age.seen, |seen| age.seen.min(*seen));
+        }
+    }
+
+    fn is_forgotten(&self, age: &Age, now: Instant) -> bool {
+        let seen_for = now.saturating_duration_since(age.seen);
+        age.written_ms < self.forget_before_ms && seen_for >= SEEN_FOR
+    }
+
+    /// Returns the numbers of segments whose claims the chain has forgotten.
     /// The last segment always stays: it says where the chain goes on.
-    pub(super) fn forget_before(&mut self, start_ms: u64) -> Vec<SegmentNumber> {
+    pub(super) fn trim(&mut self, now: Instant) -> Vec<SegmentNumber> {
         let mut numbers = Vec::new();
-        while self.ages.len() > 1 && self.ages[0].written_ms < start_ms {
-            let Some(age) = self.ages.pop_front() else {
-                break;
-            };
-            for key in &age.keys {
-                // A later claim may stand in place of this segment's.
-                let standing = self.standing.get(key);
-                if standing.is_some_and(|standing| standing.number == age.number) {
-                    self.standing.remove(key);
-                }
-            }
-            numbers.push(age.number);
+        while self.ages.len() > 1 && self.is_forgotten(&self.ages[0], now) {
+            numbers.extend(self.ages.pop_front().map(|age| age.number));
         }
         numbers
     }
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -1,12 +1,11 @@
 //! Requests that may crash whatever engine runs them.
 //!
 //! When an engine dies, everything that ran on it is suspect. A suspect runs
-//! next on probation: alone among suspects on its engine, under a lock that the
-//! engine itself keeps. A request that was on probation at two deaths is
-//! convicted and refused at every router. One death on probation is not enough:
-//! another request, not suspect yet, may have crashed the engine beside it. So
-//! one request costs the fleet three engines at the most: the first, and those
-//! of its two probations.
+//! next on probation: alone on an engine that has nothing else, under a
+//! reservation of all its memory, which the engine itself keeps. If the engine
+//! dies, the request on probation is convicted and refused at every router. So
+//! one request costs the fleet two engines: the first, and the one of its
+//! probation.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -19,9 +18,6 @@
 /// How long a verdict is remembered.
 pub const REMEMBER_FOR: Duration = Duration::from_mins(10);
 
-/// Deaths on probation at which a request is convicted.
-const CONVICTING_STRIKES: u8 = 2;
-
 /// Digest of a request's customer, model and prompt.
 pub type Fingerprint = Digest;
 
@@ -31,7 +27,7 @@
 pub enum Suspicion {
     /// It ran on an engine that died.
     Suspect,
-    /// It was on probation at two deaths.
+    /// It ran alone on an engine that died.
     Convicted,
 }
 
@@ -40,28 +36,18 @@
 pub struct Notice {
     /// The request.
     pub fingerprint: Fingerprint,
-    /// Deaths at which it was on probation.
-    pub strikes: u8,
-    /// Milliseconds since the last of them.
+    /// The verdict.
+    pub suspicion: Suspicion,
+    /// Milliseconds since it was given.
     pub age_ms: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Record {
-    strikes: u8,
+    suspicion: Suspicion,
     at: Instant,
 }
 
-impl Record {
-    fn suspicion(self) -> Suspicion {
-        if self.strikes >= CONVICTING_STRIKES {
-            Suspicion::Convicted
-        } else {
-            Suspicion::Suspect
-        }
-    }
-}
-
 /// A request that ran on an engine when it died.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Witness {
@@ -81,18 +67,18 @@
     /// Takes the death of an engine with everything this router ran on it, and
     /// returns what the other routers should know.
     pub fn engine_died(&mut self, ran: &[Witness], now: Instant) -> Vec<Notice> {
-        let notices = ran.iter().map(|witness| {
-            let before = self.records.get(&witness.fingerprint);
-            let before = before.map_or(0, |record| record.strikes);
-            Notice {
-                fingerprint: witness.fingerprint,
-                strikes: before.saturating_add(u8::from(witness.on_probation)),
-                age_ms: 0,
-            }
+        let notices = ran.iter().map(|witness| Notice {
+            fingerprint: witness.fingerprint,
+            suspicion: if witness.on_probation {
+                Suspicion::Convicted
+            } else {
+                Suspicion::Suspect
+            },
+            age_ms: 0,
         });
         let notices = notices.collect::<Vec<_>>();
         for notice in &notices {
-            self.note(notice.fingerprint, notice.strikes, now);
+            self.note(notice.fingerprint, notice.suspicion, now);
         }
         notices
     }
@@ -110,7 +96,7 @@
         if let Some(at) = now.checked_sub(age)
             && age < REMEMBER_FOR
         {
-            self.note(notice.fingerprint, notice.strikes, at);
+            self.note(notice.fingerprint, notice.suspicion, at);
         }
     }
 
@@ -123,7 +109,7 @@
     /// Returns whether a request is under suspicion.
     #[must_use]
     pub fn suspicion(&self, fingerprint: &Fingerprint) -> Option<Suspicion> {
-        self.records.get(fingerprint).map(|r| r.suspicion())
+        self.records.get(fingerprint).map(|r| r.suspicion)
     }
 
     /// Returns all convictions, for routers that missed the notice.
@@ -132,20 +118,20 @@
         let convicted = self
             .records
             .iter()
-            .filter(|(_, record)| record.suspicion() == Suspicion::Convicted);
+            .filter(|(_, record)| record.suspicion == Suspicion::Convicted);
         convicted
             .map(|(fingerprint, record)| Notice {
                 fingerprint: *fingerprint,
-                strikes: record.strikes,
+                suspicion: record.suspicion,
                 age_ms: millis(now.saturating_duration_since(record.at)),
             })
             .collect()
     }
 
-    fn note(&mut self, fingerprint: Fingerprint, strikes: u8, at: Instant) {
+    fn note(&mut self, fingerprint: Fingerprint, suspicion: Suspicion, at: Instant) {
         let held = self.records.entry(fingerprint);
-        let held = held.or_insert(Record { strikes, at });
-        held.strikes = held.strikes.max(strikes);
+        let held = held.or_insert(Record { suspicion, at });
+        held.suspicion = held.suspicion.max(suspicion);
         held.at = held.at.max(at);
     }
 }
--- a/crates/policy/tests/claims.rs
+++ b/crates/policy/tests/claims.rs
@@ -19,6 +19,7 @@
 use briarhall_policy::claims::Verdict;
 use briarhall_policy::claims::window_start;
 use briarhall_types::Digest;
+use compact_str::CompactString;
 use compact_str::format_compact;
 
 const ROUTERS: usize = 3;
@@ -50,8 +51,11 @@
     Deliver { router: u8, luck: u8 },
     /// A write of unknown fate takes effect after all.
     ApplyLate,
-    /// A router gives up claims that wait, and promises never to send them.
-    GiveUp { router: u8 },
+    /// What is due at a router goes out and comes back.
+    Turn { router: u8, luck: u8 },
+    /// Now and then a router gives up claims that wait, and promises never to
+    /// send them.
+    GiveUp { router: u8, chance: u8 },
     /// Time passes, in units of 20 ms.
     Advance { steps: u8 },
     /// Now and then a lot of time passes, in minutes.
@@ -71,8 +75,6 @@
     }
 }
 
-const ANSWERED: u8 = 4;
-
 #[derive(Debug, Default)]
 struct Router {
     chain: Chain,
@@ -135,11 +137,18 @@
                     self.create(number, segment);
                 }
             }
-            Op::GiveUp { router } => {
+            Op::Turn { router, luck } => {
+                for _ in 0..2 {
+                    self.step(usize::from(router) % ROUTERS);
+                    self.deliver(usize::from(router) % ROUTERS, fate(luck));
+                }
+            }
+            Op::GiveUp { chance, .. } if chance > 32 => {}
+            Op::GiveUp { router, .. } => {
                 let router = &mut self.routers[usize::from(router) % ROUTERS];
                 self.abandoned.extend(router.chain.give_up(|_| true));
             }
-            Op::Advance { steps } => self.now += Duration::from_millis(20) * u32::from(steps),
+            Op::Advance { steps } => self.now += Duration::from_millis(20) * u32::from(steps % 50),
             Op::AdvanceMinutes { minutes } if minutes > 16 => {}
             Op::AdvanceMinutes { minutes } => self.now += Duration::from_mins(u64::from(minutes)),
             Op::Trim { router } => self.trim(usize::from(router) % ROUTERS),
@@ -165,14 +174,17 @@
 
     fn step(&mut self, router: usize) {
         let (instant, now_ms) = (self.instant(), self.now_ms());
+        let start = window_start(now_ms, WINDOW + TIME_LIMIT + MARGIN);
         let router = &mut self.routers[router];
         if router.sent.is_none() {
+            router.chain.remember_from(start);
             let step = router.chain.step(instant, now_ms);
             router.sent = (step != Step::Idle).then_some(step);
         }
     }
 
     fn deliver(&mut self, router: usize, fate: Fate) {
+        let instant = self.instant();
         let Some(step) = self.routers[router].sent.take() else {
             return;
         };
@@ -180,12 +192,12 @@
             Step::Idle => Vec::new(),
             Step::Load => {
                 let segments = self.listing(fate);
-                self.routers[router].chain.loaded(segments)
+                self.routers[router].chain.loaded(segments, instant)
             }
             Step::Write(number, segment) => self.write(router, number, segment, fate),
             Step::Read(number) => {
                 if let Some((_, segment)) = self.store.get(&number) {
-                    self.routers[router].chain.read(segment)
+                    self.routers[router].chain.read(segment, instant)
                 } else {
                     self.routers[router].chain.absent();
                     Vec::new()
@@ -254,8 +266,8 @@
     }
 
     fn trim(&mut self, router: usize) {
-        let start = window_start(self.now_ms(), WINDOW + TIME_LIMIT + MARGIN);
-        for number in self.routers[router].chain.forget_before(start) {
+        let instant = self.instant();
+        for number in self.routers[router].chain.trim(instant) {
             if let Some((written, segment)) = self.store.remove(&number) {
                 self.deleted.push((number, written, self.now, segment));
             }
@@ -332,34 +344,30 @@
 /// it knew must not find its old number free and take that for a grant.
 #[test]
 fn a_number_freed_by_trimming_grants_nothing() {
-    let both = |world: &mut World, router: u8| {
-        world.apply(Op::Step { router });
-        world.apply(Op::Deliver {
-            router,
-            luck: ANSWERED,
-        });
+    let now = Instant::now();
+    let claim = |id, key: u8| Claim {
+        id: ClaimId::from_u128(id),
+        key: Digest::of(&[key]),
+        request: Digest::of(&[key]),
+        holder: CompactString::const_new("router-0"),
+        instead_of: None,
     };
-    let mut world = World::new();
-    world.apply(Op::Claim { router: 0, key: 0 });
-    both(&mut world, 0);
-    both(&mut world, 0);
-    // Router 0 is paused with a write on the way.
-    world.apply(Op::Claim { router: 0, key: 1 });
-    world.apply(Op::Step { router: 0 });
-    for key in [2, 3] {
-        world.apply(Op::Claim { router: 1, key });
-        both(&mut world, 1);
-        both(&mut world, 1);
-        world.apply(Op::AdvanceMinutes { minutes: 6 });
-    }
-    world.apply(Op::Claim { router: 1, key: 1 });
-    both(&mut world, 1);
-    both(&mut world, 1);
-    world.apply(Op::AdvanceMinutes { minutes: 6 });
-    world.apply(Op::Trim { router: 1 });
-    world.apply(Op::Deliver {
-        router: 0,
-        luck: ANSWERED,
-    });
-    assert_eq!(world.runs[&Digest::of(&[1])].len(), 1);
+    let mut chain = Chain::default();
+    assert_eq!(chain.submit(claim(1, 1)), None);
+    assert_eq!(chain.step(now, 0), Step::Load);
+    chain.loaded(Vec::new(), now);
+    let Step::Write(0, _) = chain.step(now, 0) else {
+        panic!("the claim is written at once");
+    };
+    // The router is paused, the chain goes on and is trimmed, and the write
+    // then finds its number free.
+    let decided = chain.written(now + Duration::from_mins(12));
+    let id = ClaimId::from_u128(1);
+    assert_eq!(
+        decided,
+        [Decided {
+            id,
+            verdict: Verdict::Void
+        }]
+    );
 }
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -14,7 +14,7 @@
 const REQUESTS: u8 = 6;
 /// The one that crashes engines.
 const CULPRIT: u8 = 0;
-const MOST_DEATHS: usize = 3;
+const MOST_DEATHS: usize = 2;
 
 #[derive(Debug, Clone, Copy, TypeGenerator)]
 enum Op {
@@ -79,8 +79,9 @@
                     .engines
                     .entry(usize::from(engine) % ENGINES)
                     .or_default();
-                // The engine keeps one lock for probation.
-                if on_probation && here.iter().any(|sent| sent.on_probation) {
+                // All memory of an idle engine, or none; then nothing else starts there.
+                let locked = here.iter().any(|sent| sent.on_probation);
+                if locked || on_probation && !here.is_empty() {
                     continue;
                 }
                 here.push(Sent {
@@ -138,9 +139,8 @@
 }
 
 macro_rules! nobody_innocent_is_convicted {
-    ($(#[$attribute:meta])* $name:ident, $caller:expr) => {
+    ($name:ident, $caller:expr) => {
         #[test]
-        $(#[$attribute])*
         fn $name() {
             briarhall_fuzz::histories(0..200, |ops: &[Op]| check(ops, $caller));
         }
@@ -148,15 +148,11 @@
 }
 
 nobody_innocent_is_convicted!(sent_one_at_a_time, Caller::OneAtATime);
-nobody_innocent_is_convicted!(
-    #[ignore = "known and not yet mended, see KNOWN-RED.txt"]
-    copies_sent_at_once,
-    Caller::CopiesAtOnce
-);
+nobody_innocent_is_convicted!(copies_sent_at_once, Caller::CopiesAtOnce);
 
-/// Sent again and again, one at a time, it costs three engines and no more.
+/// Sent again and again, one at a time, it costs two engines and no more.
 #[test]
-fn a_culprit_costs_three_engines() {
+fn a_culprit_costs_two_engines() {
     let now = Instant::now();
     let mut routers = (0..ROUTERS)
         .map(|_| Suspects::default())
--- a/crates/router/src/control/claims.rs
+++ b/crates/router/src/control/claims.rs
@@ -71,9 +71,9 @@
             return;
         };
         let decided = match event {
-            ChainEvent::Loaded(segments) => chain.loaded(segments),
+            ChainEvent::Loaded(segments) => chain.loaded(segments, now),
             ChainEvent::Written => chain.written(now),
-            ChainEvent::Read(segment) => chain.read(&segment),
+            ChainEvent::Read(segment) => chain.read(&segment, now),
             ChainEvent::Refused => no_decision(chain, Chain::refused),
             ChainEvent::Unsure => no_decision(chain, Chain::unsure),
             ChainEvent::NotWritten => no_decision(chain, Chain::not_written),
@@ -103,14 +103,15 @@
 
     /// Forgets claims older than the longest window of any contract. A holder
     /// may send as late as its time limit after the claim, so that counts too.
-    pub(super) fn trim_chains(&mut self) -> Vec<(u64, SegmentNumber)> {
+    pub(super) fn trim_chains(&mut self, now: Instant) -> Vec<(u64, SegmentNumber)> {
         let contracts = self.book.records().map(|(_, _, record)| &record.contract);
         let kept = contracts.map(|contract| contract.idempotency_window + longest_limit(contract));
         let window = kept.max().unwrap_or_default() + WINDOW_MARGIN;
         let start = window_start(now_ms(), window);
         let mut old = Vec::new();
         for (range, chain) in &mut self.chains {
-            let numbers = chain.forget_before(start);
+            chain.remember_from(start);
+            let numbers = chain.trim(now);
             old.extend(numbers.into_iter().map(|number| (*range, number)));
         }
         old
--- a/crates/router/src/control/dispatch.rs
+++ b/crates/router/src/control/dispatch.rs
@@ -36,13 +36,6 @@
                 reply.send(contract.map(|c| c.contract.customer.clone()));
             }
             Msg::Addresses(customer, reply) => reply.send(self.addresses(&customer, now)),
-            msg => self.handle_inner(msg, now),
-        }
-    }
-
-    /// Messages of this router's own tasks, other routers and operators.
-    fn handle_inner(&mut self, msg: Msg, now: Instant) {
-        match msg {
             Msg::Told(notices) => {
                 for notice in &notices {
                     self.suspects.told(notice, now);
@@ -55,7 +48,7 @@
             }
             Msg::ChainStep(range, reply) => reply.send(self.chain_step(range, now)),
             Msg::ChainEvent(range, event) => self.chain_event(range, event, now),
-            Msg::ChainTrim(reply) => reply.send(self.trim_chains()),
+            Msg::ChainTrim(reply) => reply.send(self.trim_chains(now)),
             Msg::MeshAddress(router, reply) => {
                 let heartbeat = self.members.heartbeat(&router);
                 reply.send(heartbeat.map(|h| h.mesh_address));
@@ -99,8 +92,6 @@
             }
             Msg::InFlight(reply) => reply.send(self.tickets.len()),
             Msg::Tick => self.tick(now),
-            // The others were handled before.
-            _ => {}
         }
     }
 
--- a/crates/router/src/control/shares.rs
+++ b/crates/router/src/control/shares.rs
@@ -15,14 +15,13 @@
 use briarhall_policy::sharer::floor_share;
 use briarhall_types::CallLimits;
 use briarhall_types::RouterName;
+use compact_str::format_compact;
 
 use super::Control;
 use super::messages::SharePlan;
 
 /// Time over which arrivals are averaged.
 const AVERAGE_OVER: Duration = Duration::from_secs(1);
-/// A call that has been quiet for this long is no longer reported.
-const QUIET_FOR: Duration = Duration::from_secs(5);
 
 /// Use of one kind of call, with the grant it rests on.
 #[derive(Debug)]
@@ -30,7 +29,6 @@
     pub(super) usage: Usage,
     arrivals: f64,
     averaged: Instant,
-    last_arrival: Instant,
     held: Held,
 }
 
@@ -38,7 +36,6 @@
     pub(super) fn arrived(&mut self, now: Instant) {
         self.average(now);
         self.arrivals += 1.0 / AVERAGE_OVER.as_secs_f64();
-        self.last_arrival = now;
     }
 
     fn average(&mut self, now: Instant) {
@@ -46,10 +43,6 @@
         self.arrivals *= (-elapsed / AVERAGE_OVER.as_secs_f64()).exp();
         self.averaged = now;
     }
-
-    fn is_quiet(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.last_arrival) >= QUIET_FOR && self.usage.in_flight() == 0
-    }
 }
 
 impl Control {
@@ -65,7 +58,6 @@
             usage: Usage::new(*limits, floor, now),
             arrivals: 0.0,
             averaged: now,
-            last_arrival: now,
             held: Held::default(),
         });
         let share = call.held.share(now).unwrap_or(floor);
@@ -79,9 +71,12 @@
         self.book.roster().members.len().max(1)
     }
 
-    /// Demands by sharer, quiet calls left out.
+    /// Demands by sharer. Calls without traffic are among them: a router that
+    /// reports nothing may be cut off, and its part of the limit is kept back.
     pub(super) fn share_plans(&mut self, now: Instant) -> Vec<SharePlan> {
-        self.uses.retain(|_, call| !call.is_quiet(now));
+        for (key, limits) in self.contract_calls() {
+            self.call_use(&key, &limits, now);
+        }
         let mut by_sharer = BTreeMap::<RouterName, Vec<Demand>>::new();
         let keys = self.uses.keys().cloned().collect::<Vec<_>>();
         for key in keys {
@@ -165,6 +160,23 @@
         }
     }
 
+    /// Every call that some contract allows, with its limits.
+    fn contract_calls(&self) -> Vec<(CallKey, CallLimits)> {
+        let contracts = self.book.records().map(|(_, _, record)| &record.contract);
+        let calls = contracts.flat_map(|contract| {
+            let models = contract.models.iter();
+            let models = models.map(|m| (format_compact!("model/{}", m.name), m.limits));
+            let services = contract.services.iter();
+            let services = services.map(|s| (format_compact!("service/{}", s.name), s.limits));
+            let customer = contract.customer.clone();
+            models.chain(services).map(move |(call, limits)| {
+                let customer = customer.clone();
+                (CallKey { customer, call }, limits)
+            })
+        });
+        calls.collect()
+    }
+
     fn limits_of(&self, key: &CallKey) -> Option<CallLimits> {
         let contract = self.book.contract(&key.customer)?.contract;
         if let Some(name) = key.call.strip_prefix("model/") {
--- /dev/null
+++ b/crates/router/src/control/tasks/endpoints.rs
@@ -0,0 +1,51 @@
+//! The list of VMs, and the engines' load.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_io::Timer;
+use briarhall_platform::ObjectApi;
+use briarhall_types::EndpointName;
+use futures::future::join_all;
+
+use super::TaskContext;
+use crate::control::Msg;
+
+const LIST_EVERY: Duration = Duration::from_millis(500);
+const LOAD_EVERY: Duration = Duration::from_millis(100);
+const LOAD_LIMIT: Duration = Duration::from_millis(300);
+
+impl<P> TaskContext<P>
+where
+    P: ObjectApi,
+{
+    pub(super) async fn list_vms(self) {
+        loop {
+            match self.platform.vms().await {
+                Ok(listing) => self.control.tell(Msg::Listed(listing.items)).await,
+                Err(e) => log::debug!(error = e.to_string().as_str(); "cannot list VMs"),
+            }
+            Timer::after(LIST_EVERY).await;
+        }
+    }
+
+    pub(super) async fn read_loads(self) {
+        loop {
+            let engines = self.control.ask(Msg::Engines).await;
+            let reads = engines
+                .into_iter()
+                .map(|(name, address)| self.read_load(name, address));
+            let round = async {
+                join_all(reads).await;
+            };
+            futures::future::join(round, Timer::after(LOAD_EVERY)).await;
+        }
+    }
+
+    async fn read_load(&self, name: EndpointName, address: SocketAddr) {
+        let report = self.engines.load(address, LOAD_LIMIT).await;
+        if let Ok(report) = report {
+            self.control.tell(Msg::Load(name, report)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/tasks/gossip.rs
@@ -0,0 +1,86 @@
+//! Calls to other routers: news, shares, notices.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use briarhall_mesh::MeshPeer;
+use briarhall_mesh::ShareReply;
+use briarhall_platform::ObjectApi;
+use briarhall_policy::sharer::REPORT_LIMIT;
+use futures::future::join_all;
+
+use super::TaskContext;
+use crate::control::Msg;
+use crate::control::messages::SharePlan;
+
+const PULL_EVERY: Duration = Duration::from_millis(250);
+const PULL_LIMIT: Duration = Duration::from_millis(700);
+const SHARE_EVERY: Duration = Duration::from_millis(300);
+const TELL_LIMIT: Duration = Duration::from_millis(700);
+
+impl<P> TaskContext<P>
+where
+    P: ObjectApi,
+{
+    pub(super) async fn gossip(self) {
+        loop {
+            let plan = self.control.ask(Msg::PullPlan).await;
+            let pulls = plan.addresses.iter().map(|address| {
+                let req = plan.req.clone();
+                let cx = &self;
+                async move {
+                    let asked = Instant::now();
+                    let call = |peer: MeshPeer| async move { peer.pull(req, PULL_LIMIT).await };
+                    match cx.peers.call(*address, call).await {
+                        Ok(reply) => cx.control.tell(Msg::Pulled(Box::new(reply), asked)).await,
+                        Err(e) => log::debug!(error = e.to_string().as_str(); "pull failed"),
+                    }
+                }
+            });
+            // A slow neighbour must not hold up the next round.
+            let round = async {
+                join_all(pulls).await;
+            };
+            futures::future::join(round, Timer::after(PULL_EVERY)).await;
+        }
+    }
+
+    pub(super) async fn share(self) {
+        loop {
+            let plans = self.control.ask(Msg::SharePlans).await;
+            join_all(plans.into_iter().map(|plan| self.report_demand(plan))).await;
+            Timer::after(SHARE_EVERY).await;
+        }
+    }
+
+    async fn report_demand(&self, plan: SharePlan) {
+        let asked = Instant::now();
+        let Some(reply) = self.ask_sharer(plan).await else {
+            return;
+        };
+        self.control.tell(Msg::Granted(reply, asked)).await;
+    }
+
+    async fn ask_sharer(&self, plan: SharePlan) -> Option<ShareReply> {
+        let Some(address) = plan.address else {
+            return Some(self.control.ask(|reply| Msg::Share(plan.req, reply)).await);
+        };
+        let call = |peer: MeshPeer| async move { peer.share(plan.req, REPORT_LIMIT).await };
+        self.peers.call(address, call).await.ok()
+    }
+
+    pub(super) async fn send_notices(self) {
+        let (addresses, notices) = self.control.ask(Msg::TakeNotices).await;
+        if notices.is_empty() {
+            return;
+        }
+        let tells = addresses.into_iter().map(|address| {
+            let notices = notices.clone();
+            let call = |peer: MeshPeer| async move { peer.tell(notices, TELL_LIMIT).await };
+            self.peers.call(address, call)
+        });
+        // Convictions also travel with every pull, so a lost notice is made up.
+        join_all(tells).await;
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/tasks/mod.rs
@@ -0,0 +1,77 @@
+//! Input and output of the control thread: each task asks what to do, does it,
+//! and comes back with what was seen.
+
+mod chains;
+mod config;
+mod endpoints;
+mod gossip;
+
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_io::Timer;
+use briarhall_endpoint::EngineClient;
+use briarhall_net::Executor;
+use briarhall_platform::ObjectApi;
+
+use super::ControlHandle;
+use super::Kick;
+use super::Msg;
+use crate::peers::Peers;
+
+/// Kind of the objects that hold the configuration.
+pub const CONFIG_KIND: &str = "config";
+
+const TICK_EVERY: Duration = Duration::from_millis(100);
+
+/// What the tasks work with.
+#[derive(Debug, Clone)]
+pub struct TaskContext<P> {
+    /// The control thread.
+    pub control: ControlHandle,
+    /// The platform.
+    pub platform: P,
+    /// Other routers.
+    pub peers: Peers,
+    /// Engines.
+    pub engines: EngineClient,
+    /// Where tasks run.
+    pub executor: Executor,
+}
+
+impl<P> TaskContext<P>
+where
+    P: ObjectApi,
+{
+    /// Starts every task.
+    pub fn start(&self, kicks: Receiver<Kick>) {
+        let executor = &self.executor;
+        executor.detach(self.clone().watch_config());
+        executor.detach(self.clone().gossip());
+        executor.detach(self.clone().confirm());
+        executor.detach(self.clone().keep_roster());
+        executor.detach(self.clone().list_vms());
+        executor.detach(self.clone().read_loads());
+        executor.detach(self.clone().share());
+        executor.detach(self.clone().tick());
+        executor.detach(self.clone().trim());
+        executor.detach(self.clone().follow_kicks(kicks));
+    }
+
+    async fn tick(self) {
+        loop {
+            Timer::after(TICK_EVERY).await;
+            self.control.tell(Msg::Tick).await;
+        }
+    }
+
+    async fn follow_kicks(self, kicks: Receiver<Kick>) {
+        while let Ok(kick) = kicks.recv().await {
+            let cx = self.clone();
+            match kick {
+                Kick::Chain(range) => self.executor.detach(cx.drive_chain(range)),
+                Kick::Notices => self.executor.detach(cx.send_notices()),
+            }
+        }
+    }
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -16,6 +16,8 @@
 
 use std::process::ExitCode;
 
+use briarhall_settings::Invocation;
+use briarhall_settings::read_router_settings;
 use mimalloc::MiMalloc;
 
 use crate::args::Args;
@@ -29,7 +31,7 @@
 
 fn main() -> ExitCode {
     let args = argh::from_env::<Args>();
-    match run(&args) {
+    match run(&args.into()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("{e}");
@@ -38,8 +40,8 @@
     }
 }
 
-fn run(args: &Args) -> Result<(), StartError> {
-    let Some(settings) = args.checked_settings()? else {
+fn run(invocation: &Invocation) -> Result<(), StartError> {
+    let Some(settings) = invocation.checked(read_router_settings)? else {
         return Ok(());
     };
     start::run(&settings)
@@ -47,7 +49,7 @@
 
 fn exit_code(e: &StartError) -> ExitCode {
     match e {
-        StartError::Settings(_) | StartError::Usage(_) => ExitCode::from(EXIT_BAD_INPUT),
+        StartError::Invocation(_) => ExitCode::from(EXIT_BAD_INPUT),
         _ => ExitCode::from(EXIT_FAILED),
     }
 }
--- a/crates/router/src/traffic/completions.rs
+++ b/crates/router/src/traffic/completions.rs
@@ -5,10 +5,12 @@
 use std::time::Instant;
 
 use async_io::Timer;
+use briarhall_endpoint::EngineError;
 use briarhall_endpoint::Lease;
 use briarhall_endpoint::Refused;
 use briarhall_endpoint::wire::CompletionCall;
 use briarhall_endpoint::wire::KvPart;
+use briarhall_endpoint::wire::ReserveCall;
 use briarhall_net::Body;
 use briarhall_net::problem;
 use briarhall_policy::fleet::EndpointKey;
@@ -20,6 +22,7 @@
 use briarhall_types::new_id;
 use bytes::Bytes;
 use compact_str::CompactString;
+use compact_str::format_compact;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -220,7 +223,9 @@
                 Ended::Whole => return Ok(()),
                 Ended::CallerGone => return Err(None),
                 Ended::Deadline => return Err(Some(job.out_of_time())),
-                Ended::Refused(Refused::Invalid) => return Err(Some(not_understood())),
+                Ended::Refused(Refused::Invalid) => {
+                    return Err(Some(job.refused(not_understood())));
+                }
                 Ended::Refused(_) | Ended::NotSent(_) => {}
                 Ended::Lost(_) if job.repeatable => {}
                 Ended::Lost(_) => return Err(Some(lost())),
@@ -237,18 +242,19 @@
                 return Ok(Ended::Refused(Refused::Full));
             }
         };
-        let lock = match self.lock_if_suspect(&routed).await {
+        let lock = match self.lock_if_suspect(job, &routed).await {
             Ok(lock) => lock,
             Err(ended) => {
                 job.exclude.push(routed.endpoint);
                 self.attempt_ended(&routed, ended.for_routing()).await;
+                self.pause(job, outlet, FULL_PAUSE).await?;
                 return Ok(ended);
             }
         };
         let attempt = Attempt {
             id: new_id(),
             address: routed.record.address,
-            body: job.body(outlet.tokens(), routed.priority, None, Vec::new()),
+            body: job.body(outlet.tokens(), routed.priority, lock.clone(), Vec::new()),
             key: routed.attempt,
             lease: job.lease(&self.router),
         };
@@ -276,25 +282,37 @@
         routed
     }
 
-    /// A suspect runs under a lock that the engine keeps, so that no two
-    /// suspects of any router meet on one engine.
-    async fn lock_if_suspect(&self, routed: &Routed) -> Result<Option<CompactString>, Ended> {
+    /// A suspect runs alone: it reserves all memory of an engine, which the
+    /// engine grants only when nothing else holds any. Whatever arrives there
+    /// meanwhile waits for memory and does not start.
+    async fn lock_if_suspect(
+        &self,
+        job: &Job,
+        routed: &Routed,
+    ) -> Result<Option<CompactString>, Ended> {
         if !routed.on_probation {
             return Ok(None);
         }
-        let reservation = briarhall_endpoint::wire::ReserveCall {
-            name: CompactString::const_new("probation"),
-            tokens: 1,
-            owner: CompactString::from(new_id().to_string()),
-            lease_ms: u64::try_from(LOCK_LIMIT.as_millis()).unwrap_or(u64::MAX) * 30,
+        let lease = job.lease(&self.router);
+        let reservation = ReserveCall {
+            name: format_compact!("probation-{}", new_id()),
+            tokens: routed.record.kv_tokens,
+            owner: lease.owner,
+            lease_ms: u64::try_from(lease.life.as_millis()).unwrap_or(u64::MAX),
         };
+        let address = routed.record.address;
         let locked = self
             .engines
-            .reserve(routed.record.address, &reservation, LOCK_LIMIT)
+            .reserve(address, &reservation, LOCK_LIMIT)
             .await;
         match locked {
             Ok(()) => Ok(Some(reservation.name)),
-            Err(_) => Err(Ended::Refused(Refused::Full)),
+            Err(EngineError::Refused { .. }) => Err(Ended::Refused(Refused::Full)),
+            Err(_) => {
+                // It may be held all the same.
+                self.unlock(routed, &reservation.name).await;
+                Err(Ended::NotSent(AttemptEnd::Failed))
+            }
         }
     }
 
@@ -391,14 +409,7 @@
 
     /// A refusal by routing is only `not-run` while nothing was sent.
     pub(super) fn refused(&self, failure: Problem) -> Problem {
-        if self.may_have_run {
-            Problem {
-                outcome: briarhall_types::Outcome::Unknown,
-                ..failure
-            }
-        } else {
-            failure
-        }
+        failure.unless_run(self.may_have_run)
     }
 }
 
--- a/crates/router/src/traffic/request.rs
+++ b/crates/router/src/traffic/request.rs
@@ -1,13 +1,13 @@
 //! Callers' requests, read and checked.
 
+use std::time::Duration;
+
 use briarhall_net::BodyTooLarge;
 use briarhall_net::read_limited;
 use briarhall_net::timeout;
 use briarhall_types::Digest;
 use briarhall_types::Problem;
 use briarhall_types::estimate_tokens;
-use std::time::Duration;
-
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Request;
--- a/crates/router/src/traffic/services.rs
+++ b/crates/router/src/traffic/services.rs
@@ -213,7 +213,7 @@
         }
         let routed = match self.routed_service(job).await {
             Ok(routed) => routed,
-            Err(NoRoute::Refused(failure)) => return Err(failure),
+            Err(NoRoute::Refused(failure)) => return Err(failure.unless_run(job.may_have_run)),
             Err(NoRoute::NotNow(pause)) => {
                 Timer::after(job.deadline.left_up_to(pause)).await;
                 return Ok(Err(Phase::BeforeSend));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,7 @@
 mod contract;
 mod document;
 mod fields;
+mod invocation;
 mod lines;
 mod router;
 mod steward;
@@ -17,6 +18,8 @@
 pub use fields::Fields;
 pub use fields::Finding;
 pub use fields::Findings;
+pub use invocation::Invocation;
+pub use invocation::InvocationError;
 pub use router::OperatorKey;
 pub use router::RouterSettings;
 pub use router::read_router_settings;
--- a/crates/standins/src/engine/http.rs
+++ b/crates/standins/src/engine/http.rs
@@ -1,10 +1,6 @@
 //! The engine's HTTP interface and the loop that gives it time.
 
-use std::collections::HashMap;
-use std::collections::HashSet;
-use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::process;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -14,7 +10,6 @@
 use std::time::SystemTime;
 
 use async_channel::Receiver;
-use async_channel::Sender;
 use async_io::Timer;
 use briarhall_endpoint::wire::CompletionCall;
 use briarhall_endpoint::wire::Frame;
@@ -48,21 +43,18 @@
 use hyper::header::HeaderValue;
 
 use super::cache::block_chain;
-use super::load::LoadHistory;
 use super::simulation::Cost;
 use super::simulation::Limits;
-use super::simulation::Progress;
 use super::simulation::Refusal;
-use super::simulation::Simulation;
 use super::simulation::Submission;
+use super::state::Ownership;
+use super::state::State;
+use super::state::Stream;
 use super::text::token_text;
 
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// A prompt that holds this text ends the engine when it is prefilled.
 const CRASH_TEXT: &str = "<<crash-engine>>";
-const CRASH_CODE: i32 = 134;
-const FINISHED_KEPT: usize = 512;
-const EVENTS_KEPT: usize = 1_024;
 const IDLE_WAIT: Duration = Duration::from_millis(50);
 const PEER_LIMIT: Duration = Duration::from_secs(2);
 const MIN_SLEEP: Duration = Duration::from_micros(200);
@@ -84,44 +76,6 @@
     pub lost_events_percent: u64,
 }
 
-#[derive(Debug)]
-struct Stream {
-    digest: blake3::Hash,
-    crashes: bool,
-    produced: u64,
-    done: bool,
-    wake: Option<Sender<()>>,
-}
-
-#[derive(Debug)]
-struct Ownership {
-    owner: CompactString,
-    lapses: Instant,
-}
-
-#[derive(Debug)]
-struct State {
-    simulation: Simulation,
-    streams: HashMap<CompactString, Stream>,
-    finished: VecDeque<CompactString>,
-    owners: HashMap<CompactString, Ownership>,
-    history: LoadHistory,
-    leaving: bool,
-    fencing: u64,
-    orders: Vec<Order>,
-    events: VecDeque<CacheEvent>,
-    event_number: u64,
-    kick: Option<Sender<()>>,
-    /// Digests of the prompts that were taken, for checks.
-    taken: HashSet<blake3::Hash>,
-}
-
-#[derive(Debug, Clone, serde::Serialize)]
-struct CacheEvent {
-    number: u64,
-    blocks: usize,
-}
-
 /// Answers the engine's calls.
 #[derive(Debug, Clone)]
 pub struct EngineHandler {
@@ -136,20 +90,7 @@
     /// Creates an idle engine.
     #[must_use]
     pub fn new(options: EngineOptions, executor: &Executor) -> Self {
-        let state = State {
-            simulation: Simulation::new(options.cost, options.limits),
-            streams: HashMap::new(),
-            finished: VecDeque::new(),
-            owners: HashMap::new(),
-            history: LoadHistory::new(options.report_lag),
-            leaving: false,
-            fencing: 0,
-            orders: Vec::new(),
-            events: VecDeque::new(),
-            event_number: 0,
-            kick: None,
-            taken: HashSet::new(),
-        };
+        let state = State::new(&options);
         let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let nanos = since_epoch.map_or(0, |d| d.as_nanos());
         Self {
@@ -597,66 +538,6 @@
     }
 }
 
-impl State {
-    fn lease_left(&self, name: &str) -> i64 {
-        let Some(ownership) = self.owners.get(name) else {
-            return 0;
-        };
-        let now = Instant::now();
-        let millis = |d: Duration| i64::try_from(d.as_millis()).unwrap_or(i64::MAX);
-        if ownership.lapses >= now {
-            millis(ownership.lapses - now)
-        } else {
-            -millis(now - ownership.lapses)
-        }
-    }
-
-    fn publish(&mut self, progress: Progress, lost_events_percent: u64) {
-        let Some(stream) = self.streams.get_mut(&progress.id) else {
-            return;
-        };
-        if progress.prefilled && stream.crashes {
-            process::exit(CRASH_CODE);
-        }
-        stream.produced = progress.produced;
-        stream.done = progress.done;
-        // Dropping the sender wakes the reader.
-        stream.wake = None;
-        if progress.prefilled {
-            self.event_number += 1;
-            if self.event_number * 37 % 100 >= lost_events_percent {
-                let number = self.event_number;
-                self.events.push_back(CacheEvent { number, blocks: 1 });
-            }
-            if self.events.len() > EVENTS_KEPT {
-                self.events.pop_front();
-            }
-        }
-        if progress.done {
-            self.keep_finished(progress.id);
-        }
-    }
-
-    fn is_part(&self, id: &str) -> bool {
-        self.simulation.reservations().contains_key(id)
-    }
-
-    /// A finished answer stays readable for a while, so that a reader that
-    /// lost its connection can fetch the rest.
-    fn keep_finished(&mut self, id: CompactString) {
-        if self.is_part(&id) {
-            return;
-        }
-        self.owners.remove(&id);
-        self.finished.push_back(id);
-        if self.finished.len() > FINISHED_KEPT
-            && let Some(oldest) = self.finished.pop_front()
-        {
-            self.streams.remove(&oldest);
-        }
-    }
-}
-
 fn refuse(code: StatusCode, reason: &str) -> Response<Body> {
     let mut reply = Response::new(Body::whole(reason.to_owned()));
     *reply.status_mut() = code;
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod http;
 mod load;
 mod simulation;
+mod state;
 mod text;
 
 pub use briarhall_endpoint::wire::CompletionCall;
--- /dev/null
+++ b/crates/standins/src/engine/state.rs
@@ -0,0 +1,139 @@
+//! The engine's streams, leases, orders and events, behind one lock.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::process;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Sender;
+use briarhall_endpoint::wire::Order;
+use compact_str::CompactString;
+
+use super::http::EngineOptions;
+use super::load::LoadHistory;
+use super::simulation::Progress;
+use super::simulation::Simulation;
+
+const CRASH_CODE: i32 = 134;
+const FINISHED_KEPT: usize = 512;
+const EVENTS_KEPT: usize = 1_024;
+
+#[derive(Debug)]
+pub(super) struct Stream {
+    pub(super) digest: blake3::Hash,
+    pub(super) crashes: bool,
+    pub(super) produced: u64,
+    pub(super) done: bool,
+    pub(super) wake: Option<Sender<()>>,
+}
+
+#[derive(Debug)]
+pub(super) struct Ownership {
+    pub(super) owner: CompactString,
+    pub(super) lapses: Instant,
+}
+
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) simulation: Simulation,
+    pub(super) streams: HashMap<CompactString, Stream>,
+    pub(super) finished: VecDeque<CompactString>,
+    pub(super) owners: HashMap<CompactString, Ownership>,
+    pub(super) history: LoadHistory,
+    pub(super) leaving: bool,
+    pub(super) fencing: u64,
+    pub(super) orders: Vec<Order>,
+    pub(super) events: VecDeque<CacheEvent>,
+    pub(super) event_number: u64,
+    pub(super) kick: Option<Sender<()>>,
+    /// Digests of the prompts that were taken, for checks.
+    pub(super) taken: HashSet<blake3::Hash>,
+}
+
+#[derive(Debug, Clone, serde::Serialize)]
+pub(super) struct CacheEvent {
+    pub(super) number: u64,
+    pub(super) blocks: usize,
+}
+
+impl State {
+    /// Creates the state of an idle engine.
+    pub(super) fn new(options: &EngineOptions) -> Self {
+        Self {
+            simulation: Simulation::new(options.cost, options.limits),
+            streams: HashMap::new(),
+            finished: VecDeque::new(),
+            owners: HashMap::new(),
+            history: LoadHistory::new(options.report_lag),
+            leaving: false,
+            fencing: 0,
+            orders: Vec::new(),
+            events: VecDeque::new(),
+            event_number: 0,
+            kick: None,
+            taken: HashSet::new(),
+        }
+    }
+
+    /// Milliseconds left of a lease, negative when it has lapsed.
+    pub(super) fn lease_left(&self, name: &str) -> i64 {
+        let Some(ownership) = self.owners.get(name) else {
+            return 0;
+        };
+        let now = Instant::now();
+        let millis = |d: Duration| i64::try_from(d.as_millis()).unwrap_or(i64::MAX);
+        if ownership.lapses >= now {
+            millis(ownership.lapses - now)
+        } else {
+            -millis(now - ownership.lapses)
+        }
+    }
+
+    /// Takes what a step brought to one request.
+    pub(super) fn publish(&mut self, progress: Progress, lost_events_percent: u64) {
+        let Some(stream) = self.streams.get_mut(&progress.id) else {
+            return;
+        };
+        if progress.prefilled && stream.crashes {
+            process::exit(CRASH_CODE);
+        }
+        stream.produced = progress.produced;
+        stream.done = progress.done;
+        // Dropping the sender wakes the reader.
+        stream.wake = None;
+        if progress.prefilled {
+            self.event_number += 1;
+            if self.event_number * 37 % 100 >= lost_events_percent {
+                let number = self.event_number;
+                self.events.push_back(CacheEvent { number, blocks: 1 });
+            }
+            if self.events.len() > EVENTS_KEPT {
+                self.events.pop_front();
+            }
+        }
+        if progress.done {
+            self.keep_finished(progress.id);
+        }
+    }
+
+    fn is_part(&self, id: &str) -> bool {
+        self.simulation.reservations().contains_key(id)
+    }
+
+    /// A finished answer stays readable for a while, so that a reader that
+    /// lost its connection can fetch the rest.
+    fn keep_finished(&mut self, id: CompactString) {
+        if self.is_part(&id) {
+            return;
+        }
+        self.owners.remove(&id);
+        self.finished.push_back(id);
+        if self.finished.len() > FINISHED_KEPT
+            && let Some(oldest) = self.finished.pop_front()
+        {
+            self.streams.remove(&oldest);
+        }
+    }
+}
--- a/crates/steward/src/args.rs
+++ b/crates/steward/src/args.rs
@@ -3,10 +3,7 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use briarhall_settings::StewardSettings;
-use briarhall_settings::read_steward_settings;
-
-use crate::error::StartError;
+use briarhall_settings::Invocation;
 
 /// Free engine memory that nobody owns and give engines their orders.
 #[derive(Debug, FromArgs)]
@@ -22,27 +19,14 @@
     version: bool,
 }
 
-impl Args {
-    /// Returns the settings, or nothing when the command is done already.
-    ///
-    /// # Errors
-    ///
-    /// Returns everything wrong with the settings.
-    pub fn checked_settings(&self) -> Result<Option<StewardSettings>, StartError> {
-        if self.version {
-            println!("briarhall-steward {}", env!("CARGO_PKG_VERSION"));
-            return Ok(None);
-        }
-        let missing = "`--settings` is missing; name the file with the settings";
-        let path = self
-            .settings
-            .as_ref()
-            .ok_or_else(|| StartError::Usage(missing.to_owned()))?;
-        let settings = read_steward_settings(path)?;
-        if self.check_settings {
-            println!("{}: the settings are right", path.display());
-            return Ok(None);
+impl From<Args> for Invocation {
+    fn from(args: Args) -> Self {
+        Self {
+            program: "briarhall-steward",
+            version: env!("CARGO_PKG_VERSION"),
+            settings: args.settings,
+            check_settings: args.check_settings,
+            print_version: args.version,
         }
-        Ok(Some(settings))
     }
 }
--- a/crates/steward/src/error.rs
+++ b/crates/steward/src/error.rs
@@ -5,18 +5,15 @@
 use briarhall_net::LogError;
 use briarhall_net::MetricsError;
 use briarhall_net::SpawnThreadsError;
-use briarhall_settings::Findings;
+use briarhall_settings::InvocationError;
 use thiserror::Error;
 
 /// Says why a steward could not start.
 #[derive(Debug, Error)]
 pub enum StartError {
-    /// The command line is wrong.
-    #[error("briarhall-steward: {0}")]
-    Usage(String),
-    /// The settings are wrong.
-    #[error("{0}")]
-    Settings(#[from] Findings),
+    /// The command line or the settings are wrong.
+    #[error(transparent)]
+    Invocation(#[from] InvocationError),
     /// Logging could not start.
     #[error("briarhall-steward: {0}")]
     Log(#[from] LogError),
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -21,7 +21,9 @@
 use briarhall_net::Metrics;
 use briarhall_net::TimerRuntime;
 use briarhall_platform::HttpObjectApi;
+use briarhall_settings::Invocation;
 use briarhall_settings::StewardSettings;
+use briarhall_settings::read_steward_settings;
 use briarhall_types::new_id;
 use futures_lite::StreamExt;
 use mimalloc::MiMalloc;
@@ -45,20 +47,20 @@
 
 fn main() -> ExitCode {
     let args = argh::from_env::<Args>();
-    match run(&args) {
+    match run(&args.into()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("{e}");
             ExitCode::from(match e {
-                StartError::Settings(_) | StartError::Usage(_) => EXIT_BAD_INPUT,
+                StartError::Invocation(_) => EXIT_BAD_INPUT,
                 _ => EXIT_FAILED,
             })
         }
     }
 }
 
-fn run(args: &Args) -> Result<(), StartError> {
-    let Some(settings) = args.checked_settings()? else {
+fn run(invocation: &Invocation) -> Result<(), StartError> {
+    let Some(settings) = invocation.checked(read_steward_settings)? else {
         return Ok(());
     };
     let _logging = Logging::start(&settings.log)?;
--- a/crates/types/src/problem.rs
+++ b/crates/types/src/problem.rs
@@ -54,6 +54,15 @@
         }
     }
 
+    /// Takes back that the request did not run, if some of it may have.
+    #[must_use]
+    pub fn unless_run(mut self, may_have_run: bool) -> Self {
+        if may_have_run {
+            self.outcome = Outcome::Unknown;
+        }
+        self
+    }
+
     /// Adds when to come back, rounded up to whole seconds.
     #[must_use]
     pub fn retry_after(mut self, delay: Duration) -> Self {
