Claims forget by a floor stated in the chain

What stood depended on segments that some readers had and others had not.

What was done: each segment states a floor. What stands follows from the segments at or above the highest floor alone, as if the rest had never been; whatever lies below is ignored and may be deleted. The floor rises only over segments that are old and have been seen for a minute, also when no claims arrive.

Ruled out: forgetting by time stated in the segment (a late segment can carry a recent time); trimming by the writer's clock (a writer may have been paused).

--- a/crates/policy/benches/decisions.rs
+++ b/crates/policy/benches/decisions.rs
@@ -218,6 +218,6 @@
                 _ => break,
             }
         }
-        chain.trim(Instant::now())
+        chain.trim()
     });
 }
--- a/crates/policy/src/claims/chain.rs
+++ b/crates/policy/src/claims/chain.rs
@@ -113,23 +113,34 @@
         match &self.phase {
             Phase::MustRead => Step::Read(self.next),
             Phase::Writing(_) => Step::Idle,
-            Phase::NotLoaded | Phase::Ready if self.waiting.is_empty() => Step::Idle,
+            Phase::NotLoaded | Phase::Ready if !self.has_work(now) => Step::Idle,
             Phase::NotLoaded => Step::Load,
-            Phase::Ready => self.write(now_ms),
+            Phase::Ready => self.write(now, now_ms),
         }
     }
 
-    fn write(&mut self, now_ms: u64) -> Step {
+    fn write(&mut self, now: Instant, now_ms: u64) -> Step {
         let count = self.waiting.len().min(MAX_SEGMENT_CLAIMS);
         let segment = Segment {
             written_ms: now_ms,
-            forget_before_ms: self.start_ms,
+            floor: self.window.next_floor(self.start_ms, now),
             claims: self.waiting.iter().take(count).cloned().collect(),
         };
         self.phase = Phase::Writing(segment.clone());
         Step::Write(self.next, segment)
     }
 
+    /// Claims to write, or old segments to forget.
+    fn has_work(&self, now: Instant) -> bool {
+        !self.waiting.is_empty() || self.has_old_segments(now)
+    }
+
+    /// Returns whether the chain holds segments that can be forgotten.
+    #[must_use]
+    pub fn has_old_segments(&self, now: Instant) -> bool {
+        self.window.next_floor(self.start_ms, now) > self.window.floor()
+    }
+
     fn is_synced(&self, now: Instant, within: Duration) -> bool {
         let recent = |at: Instant| now.saturating_duration_since(at) < within;
         self.synced.is_some_and(recent)
@@ -143,6 +154,9 @@
     ) -> Vec<Decided> {
         let before = std::mem::take(&mut self.window);
         self.next = 0;
+        // What lies below the highest floor may be deleted in part.
+        let floor = segments.iter().map(|(_, segment)| segment.floor).max();
+        self.window.raise_floor(floor.unwrap_or(0));
         for (number, segment) in segments {
             self.window.apply(number, &segment, now);
             self.next = number + 1;
@@ -234,8 +248,8 @@
 
     /// Returns the segments that the chain has forgotten and that may be
     /// deleted.
-    pub fn trim(&mut self, now: Instant) -> Vec<SegmentNumber> {
-        self.window.trim(now)
+    pub fn trim(&mut self) -> Vec<SegmentNumber> {
+        self.window.take_forgotten()
     }
 
     /// Returns the number of claims that wait.
@@ -251,7 +265,7 @@
     }
 
     fn verdict(&self, claim: &Claim) -> Option<Verdict> {
-        let current = self.window.get(&claim.key, self.start_ms)?;
+        let current = self.window.get(&claim.key)?;
         if current.id == claim.id {
             return Some(Verdict::Granted);
         }
--- a/crates/policy/src/claims/mod.rs
+++ b/crates/policy/src/claims/mod.rs
@@ -61,10 +61,10 @@
 pub struct Segment {
     /// Milliseconds since the epoch, by the writer's clock.
     pub written_ms: u64,
-    /// Claims of segments written before this time stand no longer, from this
-    /// segment on. Stated in the chain, so that every reader forgets at the same
-    /// place.
-    pub forget_before_ms: u64,
+    /// Segments with a lower number count no longer, from this segment on, as if
+    /// they had never been. Stated in the chain, so that every reader forgets
+    /// alike, whether or not they are deleted yet.
+    pub floor: SegmentNumber,
     /// The claims, in order.
     pub claims: Vec<Claim>,
 }
--- a/crates/policy/src/claims/window.rs
+++ b/crates/policy/src/claims/window.rs
@@ -1,4 +1,4 @@
-//! Claims that stand, by key, for as long as they are remembered.
+//! Segments that count, and the claims in them that stand.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -13,6 +13,11 @@
 use super::Segment;
 use super::SegmentNumber;
 
+/// A segment is forgotten only this long after it was first seen: its writer
+/// may have been paused, so its own time says nothing of how long it has been
+/// there. Whoever held its number for free by then does not any more.
+const SEEN_FOR: Duration = Duration::from_mins(1);
+
 /// A claim that stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Claimed {
@@ -24,104 +29,115 @@
     pub holder: RouterName,
 }
 
-/// A segment is deleted only this long after it was first seen. Whoever held
-/// its number for free by then does not any more.
-const SEEN_FOR: Duration = Duration::from_mins(1);
-
 #[derive(Debug)]
-struct Age {
+struct Kept {
     number: SegmentNumber,
-    written_ms: u64,
-    /// Its writer may have been paused, so its age says nothing of how long it
-    /// has been there.
+    segment: Segment,
     seen: Instant,
 }
 
-#[derive(Debug)]
-struct Standing {
-    claimed: Claimed,
-    written_ms: u64,
-}
-
-/// The claims of one range that stand.
+/// The segments of one range that count, and the claims that stand.
+///
+/// What stands follows from the segments at or above the floor alone, so a
+/// reader that loads the chain after a deletion sees what all others see.
 #[derive(Debug, Default)]
 pub(super) struct Window {
-    standing: HashMap<Digest, Standing>,
-    ages: VecDeque<Age>,
-    forget_before_ms: u64,
+    floor: SegmentNumber,
+    segments: VecDeque<Kept>,
+    standing: HashMap<Digest, Claimed>,
+    forgotten: Vec<SegmentNumber>,
 }
 
 impl Window {
     /// Takes a segment in its turn.
     pub(super) fn apply(&mut self, number: SegmentNumber, segment: &Segment, now: Instant) {
-        self.forget(segment.forget_before_ms);
-        let written_ms = segment.written_ms;
+        if number < self.floor {
+            // Written late into a number that was freed.
+            self.forgotten.push(number);
+            return;
+        }
         for claim in &segment.claims {
-            if self.stands(claim) {
-                let claimed = claimed(claim);
-                let standing = Standing {
-                    claimed,
-                    written_ms,
-                };
-                self.standing.insert(claim.key, standing);
-            }
+            self.stand(claim);
         }
-        self.ages.push_back(Age {
+        self.segments.push_back(Kept {
             number,
-            written_ms,
+            segment: segment.clone(),
             seen: now,
         });
+        self.raise_floor(segment.floor);
     }
 
-    fn forget(&mut self, before_ms: u64) {
-        if before_ms <= self.forget_before_ms {
+    /// Forgets everything below a number, as if it had never been.
+    pub(super) fn raise_floor(&mut self, floor: SegmentNumber) {
+        if floor <= self.floor {
             return;
         }
-        self.forget_before_ms = before_ms;
-        self.standing
-            .retain(|_, standing| standing.written_ms >= before_ms);
+        self.floor = floor;
+        while self
+            .segments
+            .front()
+            .is_some_and(|kept| kept.number < floor)
+        {
+            let kept = self.segments.pop_front();
+            self.forgotten.extend(kept.map(|kept| kept.number));
+        }
+        self.standing.clear();
+        let segments = std::mem::take(&mut self.segments);
+        for claim in segments.iter().flat_map(|kept| &kept.segment.claims) {
+            self.stand(claim);
+        }
+        self.segments = segments;
     }
 
-    /// Returns whether a claim that comes next would stand.
-    fn stands(&self, claim: &Claim) -> bool {
-        match self.standing.get(&claim.key) {
+    fn stand(&mut self, claim: &Claim) {
+        let stands = match self.standing.get(&claim.key) {
             None => true,
-            Some(current) => claim.instead_of == Some(current.claimed.id),
+            Some(current) => claim.instead_of == Some(current.id),
+        };
+        if stands {
+            self.standing.insert(claim.key, claimed(claim));
         }
     }
 
-    /// Returns the claim on a key that stands, unless it is older than
-    /// `start_ms`: the next segment may then forget it.
-    pub(super) fn get(&self, key: &Digest, start_ms: u64) -> Option<&Claimed> {
-        let standing = self.standing.get(key)?;
-        (standing.written_ms >= start_ms).then_some(&standing.claimed)
-    }
-
     /// Keeps in mind since when segments have been seen that were in another
     /// window before.
     pub(super) fn seen_before(&mut self, before: &Self) {
-        let seen = before.ages.iter().map(|age| (age.number, age.seen));
+        let seen = before.segments.iter().map(|kept| (kept.number, kept.seen));
         let seen = seen.collect::<HashMap<_, _>>();
-        for age in &mut self.ages {
-            age.seen = seen
-                .get(&age.number)
-                .map_or(age.seen, |seen| age.seen.min(*seen));
+        for kept in &mut self.segments {
+            if let Some(seen) = seen.get(&kept.number) {
+                kept.seen = kept.seen.min(*seen);
+            }
         }
     }
 
-    fn is_forgotten(&self, age: &Age, now: Instant) -> bool {
-        let seen_for = now.saturating_duration_since(age.seen);
-        age.written_ms < self.forget_before_ms && seen_for >= SEEN_FOR
+    /// Returns the claim on a key that stands.
+    pub(super) fn get(&self, key: &Digest) -> Option<&Claimed> {
+        self.standing.get(key)
     }
 
-    /// Returns the numbers of segments whose claims the chain has forgotten.
-    /// The last segment always stays: it says where the chain goes on.
-    pub(super) fn trim(&mut self, now: Instant) -> Vec<SegmentNumber> {
-        let mut numbers = Vec::new();
-        while self.ages.len() > 1 && self.is_forgotten(&self.ages[0], now) {
-            numbers.extend(self.ages.pop_front().map(|age| age.number));
-        }
-        numbers
+    /// Returns the floor that the next segment may state: everything below it
+    /// was written before `start_ms` and has been seen for long enough. The
+    /// last segment always counts: it says where the chain goes on.
+    pub(super) fn next_floor(&self, start_ms: u64, now: Instant) -> SegmentNumber {
+        let last = self.segments.len().saturating_sub(1);
+        let is_old = |kept: &&Kept| {
+            let seen_for = now.saturating_duration_since(kept.seen);
+            kept.segment.written_ms < start_ms && seen_for >= SEEN_FOR
+        };
+        let old = self.segments.iter().take(last).take_while(is_old);
+        old.last().map_or(self.floor, |kept| kept.number + 1)
+    }
+
+    /// Returns the floor in force.
+    pub(super) fn floor(&self) -> SegmentNumber {
+        self.floor
+    }
+
+    /// Returns the numbers of segments that were forgotten since it was asked
+    /// last.
+    pub(super) fn take_forgotten(&mut self) -> Vec<SegmentNumber> {
+        std::mem::take(&mut self.forgotten)
     }
 }
 
--- a/crates/policy/tests/claims.rs
+++ b/crates/policy/tests/claims.rs
@@ -266,8 +266,7 @@
     }
 
     fn trim(&mut self, router: usize) {
-        let instant = self.instant();
-        for number in self.routers[router].chain.trim(instant) {
+        for number in self.routers[router].chain.trim() {
             if let Some((written, segment)) = self.store.remove(&number) {
                 self.deleted.push((number, written, self.now, segment));
             }
--- a/crates/router/src/control/claims.rs
+++ b/crates/router/src/control/claims.rs
@@ -109,10 +109,17 @@
         let window = kept.max().unwrap_or_default() + WINDOW_MARGIN;
         let start = window_start(now_ms(), window);
         let mut old = Vec::new();
+        let mut due = Vec::new();
         for (range, chain) in &mut self.chains {
             chain.remember_from(start);
-            let numbers = chain.trim(now);
+            let numbers = chain.trim();
             old.extend(numbers.into_iter().map(|number| (*range, number)));
+            if chain.has_old_segments(now) && self.driven.insert(*range) {
+                due.push(*range);
+            }
+        }
+        for range in due {
+            self.kick(Kick::Chain(range));
         }
         old
     }
