The stand-in engine exports and imports KV, and shows cache events late

What was done: `GET` and `POST /v1/reservations/{name}/kv`, and events shown with the engine's reporting lag. A case moves 20,000 tokens from one engine to another. The router does not use either yet: gangs prefill their parts side by side.

--- a/crates/endpoint/src/wire.rs
+++ b/crates/endpoint/src/wire.rs
@@ -74,6 +74,14 @@
     pub priority: i64,
 }
 
+/// KV of a reservation as one engine exports and another imports it:
+/// `GET` and `POST /v1/reservations/{name}/kv`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvExport {
+    /// Tokens whose KV it is.
+    pub tokens: u64,
+}
+
 /// What holds engine memory.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/lab/tests/tests/memory.rs
+++ b/crates/lab/tests/tests/memory.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use briarhall_endpoint::wire::KvExport;
 use briarhall_endpoint::wire::Order;
+use briarhall_endpoint::wire::PrefillCall;
 use briarhall_endpoint::wire::ReserveCall;
 use briarhall_lab::caller::Verdict;
 use briarhall_lab::site::CustomerSpec;
@@ -201,3 +203,37 @@
         assert_eq!(reply.expect("the engine answers").status(), 412);
     }
 );
+
+site_test!(
+    /// KV that one engine exports spares another the prefill.
+    kv_moves_between_engines,
+    spec(),
+    customer(),
+    async |bench: &mut Bench| {
+        for engine in [0, 1] {
+            let call = ReserveCall {
+                name: CompactString::const_new("moved"),
+                tokens: 20_000,
+                owner: CompactString::const_new("test"),
+                lease_ms: 30_000,
+            };
+            let address = bench.site.engines[&engine].address;
+            let reserved = bench.site.post(address, "/v1/reservations", &call).await;
+            reserved.expect("the engine answers");
+        }
+        let from = bench.site.engines[&0].address;
+        let to = bench.site.engines[&1].address;
+        let prefill = PrefillCall {
+            tokens: 20_000,
+            priority: 0,
+        };
+        let path = "/v1/reservations/moved/prefill";
+        bench.site.post(from, path, &prefill).await.expect("it is prefilled");
+        let path = "/v1/reservations/moved/kv";
+        let export = bench.site.get::<KvExport>(from, path).await.expect("it is exported");
+        assert_eq!(export.tokens, 20_000);
+        bench.site.post(to, path, &export).await.expect("it is imported");
+        let imported = bench.site.get::<KvExport>(to, path).await.expect("it is there");
+        assert_eq!(imported, export);
+    }
+);
--- a/crates/standins/src/engine/http.rs
+++ b/crates/standins/src/engine/http.rs
@@ -15,6 +15,7 @@
 use briarhall_endpoint::wire::Frame;
 use briarhall_endpoint::wire::Holding;
 use briarhall_endpoint::wire::HoldingKind;
+use briarhall_endpoint::wire::KvExport;
 use briarhall_endpoint::wire::KvPart;
 use briarhall_endpoint::wire::Ledger;
 use briarhall_endpoint::wire::Order;
@@ -47,6 +48,7 @@
 use super::simulation::Limits;
 use super::simulation::Refusal;
 use super::simulation::Submission;
+use super::state::CacheEvent;
 use super::state::Ownership;
 use super::state::State;
 use super::state::Stream;
@@ -188,6 +190,13 @@
                     Err(e) => refuse(StatusCode::BAD_REQUEST, &e.to_string()),
                 }
             }
+            (&Method::GET, ["v1", "reservations", name, "kv"]) => self.export_kv(name),
+            (&Method::POST, ["v1", "reservations", name, "kv"]) => {
+                match serde_json::from_slice(&body) {
+                    Ok(export) => self.import_kv(name, &export),
+                    Err(e) => refuse(StatusCode::BAD_REQUEST, &e.to_string()),
+                }
+            }
             (&Method::GET, ["v1", "load"]) => self.load(),
             (&Method::GET, ["v1", "holdings"]) => self.holdings(),
             (&Method::GET, ["v1", "events"]) => self.events(&query),
@@ -419,6 +428,26 @@
         })
     }
 
+    fn export_kv(&self, name: &str) -> Response<Body> {
+        let state = self.state();
+        match state.simulation.reservations().get(name) {
+            Some(held) => json(
+                StatusCode::OK,
+                &KvExport {
+                    tokens: held.prefilled,
+                },
+            ),
+            None => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn import_kv(&self, name: &str, export: &KvExport) -> Response<Body> {
+        match self.state().simulation.import(name, export.tokens) {
+            Ok(()) => status(StatusCode::OK),
+            Err(refusal) => from_refusal(refusal),
+        }
+    }
+
     /// Answers when the part is prefilled.
     async fn prefill(&self, name: &str, call: PrefillCall) -> Response<Body> {
         let id = CompactString::from(name);
@@ -504,7 +533,10 @@
         let after = query.strip_prefix("after=").and_then(|n| n.parse().ok());
         let after: u64 = after.unwrap_or(0);
         let state = self.state();
+        let lag = self.options.report_lag;
+        let late = |e: &&CacheEvent| e.at.elapsed() >= lag;
         let events = state.events.iter().filter(|e| e.number > after);
+        let events = events.filter(late);
         json(StatusCode::OK, &events.cloned().collect::<Vec<_>>())
     }
 
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -14,6 +14,7 @@
 pub use briarhall_endpoint::wire::Frame;
 pub use briarhall_endpoint::wire::Holding;
 pub use briarhall_endpoint::wire::HoldingKind;
+pub use briarhall_endpoint::wire::KvExport;
 pub use briarhall_endpoint::wire::KvPart;
 pub use briarhall_endpoint::wire::Ledger;
 pub use briarhall_endpoint::wire::Order;
--- a/crates/standins/src/engine/simulation.rs
+++ b/crates/standins/src/engine/simulation.rs
@@ -309,6 +309,23 @@
         true
     }
 
+    /// Takes KV that another engine exported into a reservation.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no such reservation or no room in it.
+    pub fn import(&mut self, name: &str, tokens: u64) -> Result<(), Refusal> {
+        let reservation = self.reservations.get_mut(name);
+        let reservation = reservation.ok_or(Refusal::NoReservation)?;
+        let needed = reservation.prefilled + tokens;
+        let capacity = reservation.tokens;
+        if needed > capacity {
+            return Err(Refusal::TooLarge { needed, capacity });
+        }
+        reservation.prefilled = needed;
+        Ok(())
+    }
+
     /// Returns the reservations by name.
     #[must_use]
     pub fn reservations(&self) -> &HashMap<CompactString, Reservation> {
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -56,6 +56,9 @@
 pub(super) struct CacheEvent {
     pub(super) number: u64,
     pub(super) blocks: usize,
+    /// When it happened; it shows with the engine's reporting lag.
+    #[serde(skip)]
+    pub(super) at: Instant,
 }
 
 impl State {
@@ -107,7 +110,12 @@
             self.event_number += 1;
             if self.event_number * 37 % 100 >= lost_events_percent {
                 let number = self.event_number;
-                self.events.push_back(CacheEvent { number, blocks: 1 });
+                let at = Instant::now();
+                self.events.push_back(CacheEvent {
+                    number,
+                    blocks: 1,
+                    at,
+                });
             }
             if self.events.len() > EVENTS_KEPT {
                 self.events.pop_front();
