--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,104 @@
+//! Answers that the gateway gives itself.
+
+use std::time::Duration;
+
+use briarhall_net::Body;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use thiserror::Error;
+
+use crate::wire::HeadProblem;
+
+/// Time after which a client may come back when nothing better is known: about
+/// the time in which an engine ends a few short requests.
+pub const COME_BACK: Duration = Duration::from_millis(400);
+
+/// Why a request gets no answer of a replica.
+#[derive(Debug, Clone, Error)]
+pub enum GiveUp {
+    /// Its head is not acceptable.
+    #[error(transparent)]
+    Head(#[from] HeadProblem),
+    /// Its body is too long.
+    #[error("the body is longer than the configuration allows")]
+    BodyTooLarge,
+    /// Its body did not come whole.
+    #[error("the body did not come whole")]
+    BodyCut,
+    /// No configuration is known yet.
+    #[error("no configuration is known yet")]
+    NotReady,
+    /// No route has this host and path.
+    #[error("no route has this host and path")]
+    NoRoute,
+    /// The key is missing or stands for nobody.
+    #[error("the key is missing or not known")]
+    Unauthorised,
+    /// No replica could take it; it has not run.
+    #[error("no replica could take it; it has not run")]
+    NotRun {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// It may have run, and its answer is lost.
+    #[error("the replica gave no answer; the request may have run")]
+    AnswerLost,
+    /// Its time is over; it may have run.
+    #[error("its time is over; it may have run")]
+    TimeOver,
+}
+
+impl GiveUp {
+    /// Returns the name used in logs.
+    #[must_use]
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::Head(_) => "bad_head",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyCut => "body_cut",
+            Self::NotReady => "not_ready",
+            Self::NoRoute => "no_route",
+            Self::Unauthorised => "unauthorised",
+            Self::NotRun { .. } => "not_run",
+            Self::AnswerLost => "answer_lost",
+            Self::TimeOver => "time_over",
+        }
+    }
+
+    /// Returns the status of the answer.
+    #[must_use]
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::Head(_) | Self::BodyCut => StatusCode::BAD_REQUEST,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NotReady | Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Unauthorised => StatusCode::UNAUTHORIZED,
+            Self::AnswerLost => StatusCode::BAD_GATEWAY,
+            Self::TimeOver => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Returns the answer.
+    #[must_use]
+    pub fn answer(&self) -> Response<Body> {
+        let mut reply = Response::new(Body::whole(format!("{self}\n")));
+        *reply.status_mut() = self.status();
+        let headers = reply.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        let retry_after = match self {
+            Self::NotRun { retry_after } => Some(*retry_after),
+            Self::NotReady => Some(COME_BACK),
+            _ => None,
+        };
+        if let Some(after) = retry_after
+            && let Ok(value) = HeaderValue::from_str(&format!("{:.2}", after.as_secs_f64()))
+        {
+            headers.insert(RETRY_AFTER, value);
+        }
+        reply
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/client_request.rs
@@ -0,0 +1,183 @@
+//! Clients' requests: from the head to an admitted job and its answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use briarhall_net::Body;
+use briarhall_net::BodyTooLarge;
+use briarhall_net::Executor;
+use briarhall_net::Handler;
+use briarhall_net::read_limited;
+use briarhall_net::timeout;
+use briarhall_policy::routes;
+use briarhall_policy::routes::RouteTable;
+use briarhall_types::Organisation;
+use briarhall_types::Route;
+use briarhall_types::RouteKind;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use hyper::header::TRANSFER_ENCODING;
+use hyper::header::UPGRADE;
+use hyper::http::request;
+
+use crate::answer::GiveUp;
+use crate::attempt::Sender;
+use crate::attempt::elapsed_ms;
+use crate::job::Job;
+use crate::job::ends;
+use crate::plain;
+use crate::state::InFlight;
+use crate::stream;
+use crate::wire::RequestHead;
+use crate::wire::Wire;
+
+/// Answers clients' requests.
+#[derive(Debug, Clone)]
+pub struct ClientRequests<W> {
+    /// Places and sends.
+    pub sender: Sender<W>,
+    /// Runs the rest of streams.
+    pub executor: Executor,
+}
+
+/// What the configuration says of a request.
+struct Admitted {
+    table: Arc<RouteTable>,
+    route: Arc<Route>,
+    organisation: Option<Arc<Organisation>>,
+}
+
+impl<W> Handler for ClientRequests<W>
+where
+    W: Wire,
+{
+    async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        let arrived = Instant::now();
+        let (parts, body) = req.into_parts();
+        let answered = match self.sender.wire.request_head(&parts) {
+            Ok(head) => {
+                let id = head.id.clone();
+                let served = self.serve(arrived, parts, head, body).await;
+                served.inspect_err(|e| refuse(&id, e, arrived))
+            }
+            Err(problem) => {
+                let e = GiveUp::Head(problem);
+                refuse("", &e, arrived);
+                Err(e)
+            }
+        };
+        let mut reply = answered.unwrap_or_else(|e| e.answer());
+        if self.sender.shared.state().stopping {
+            let headers = reply.headers_mut();
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        reply
+    }
+}
+
+impl<W> ClientRequests<W>
+where
+    W: Wire,
+{
+    async fn serve(
+        &self,
+        arrived: Instant,
+        parts: request::Parts,
+        head: RequestHead,
+        body: Incoming,
+    ) -> Result<Response<Body>, GiveUp> {
+        let in_flight = InFlight::new(&self.sender.shared);
+        let Admitted {
+            table,
+            route,
+            organisation,
+        } = self.admit(&head, parts.uri.path())?;
+        let ends = ends(&head, &route, arrived);
+        let limit = table.limits().max_body_bytes;
+        let left = ends.saturating_duration_since(Instant::now());
+        let body = timeout(left, read_limited(body, limit)).await;
+        let body = body
+            .map_err(|_elapsed| GiveUp::BodyCut)?
+            .map_err(|e| match e {
+                BodyTooLarge::TooLarge { .. } => GiveUp::BodyTooLarge,
+                BodyTooLarge::Cut(_) => GiveUp::BodyCut,
+            })?;
+        let service = routes::target(&route, rand::random()).ok_or(GiveUp::NoRoute)?;
+        let service = service.clone();
+        self.sender.shared.note_arrival(&service);
+        let job = Job {
+            head,
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            engine: table.engine(&service).cloned(),
+            service,
+            route,
+            organisation,
+            arrived,
+            ends,
+            _in_flight: in_flight,
+        };
+        if job.route.kind == RouteKind::Streaming {
+            stream::serve(&self.sender, &self.executor, job).await
+        } else {
+            plain::serve(&self.sender, &job).await
+        }
+    }
+
+    fn admit(&self, head: &RequestHead, path: &str) -> Result<Admitted, GiveUp> {
+        let state = self.sender.shared.state();
+        let in_force = state.in_force.as_ref().ok_or(GiveUp::NotReady)?;
+        let table = Arc::clone(&in_force.table);
+        drop(state);
+        let route = table.find(&head.host, path).ok_or(GiveUp::NoRoute)?;
+        let route = Arc::clone(route);
+        let organisation = if table.keys_needed() && !route.anonymous {
+            let known = head.key.as_ref().and_then(|key| table.organisation(key));
+            Some(Arc::clone(known.ok_or(GiveUp::Unauthorised)?))
+        } else {
+            None
+        };
+        Ok(Admitted {
+            table,
+            route,
+            organisation,
+        })
+    }
+}
+
+/// Removes headers that concern one connection only.
+pub fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named = headers.get_all(CONNECTION).iter();
+    let named = named.filter_map(|value| value.to_str().ok());
+    let named = named.flat_map(|value| value.split(','));
+    let named = named.filter_map(|name| name.trim().parse::<HeaderName>().ok());
+    let named = named.collect::<Vec<_>>();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [CONNECTION, TRANSFER_ENCODING, UPGRADE] {
+        headers.remove(name);
+    }
+    for name in ["keep-alive", "proxy-connection", "te", "trailer"] {
+        headers.remove(name);
+    }
+}
+
+fn refuse(id: &str, e: &GiveUp, arrived: Instant) {
+    log::info!(
+        event = "refused",
+        request = id,
+        reason = e.reason(),
+        status = e.status().as_u16(),
+        total_ms = elapsed_ms(arrived);
+        "refused"
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/directory.rs
@@ -0,0 +1,68 @@
+//! Tells clients where to connect, and the platform whether this gateway is
+//! ready.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use briarhall_net::Body;
+use briarhall_net::Handler;
+use briarhall_net::status;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+
+use crate::state::Shared;
+use crate::wire::Wire;
+
+/// Addresses in one answer, as many as clients take.
+const MAX_ADDRESSES: usize = 64;
+
+/// Answers the directory's and the readiness port's calls.
+#[derive(Debug, Clone)]
+pub struct Directory<W> {
+    /// Spells calls and answers.
+    pub wire: W,
+    /// Control state.
+    pub shared: Arc<Shared>,
+}
+
+impl<W> Handler for Directory<W>
+where
+    W: Wire,
+{
+    async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        if self.wire.asks_for_addresses(req.uri()) {
+            let addresses = self.serving();
+            if addresses.is_empty() {
+                return status(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            let ttl = self.shared.settings.address_ttl;
+            return self.wire.addresses(&addresses, ttl);
+        }
+        if self.wire.asks_if_ready(req.uri()) {
+            let ready = self.shared.state().is_ready();
+            let code = if ready {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            };
+            return status(code);
+        }
+        status(StatusCode::NOT_FOUND)
+    }
+}
+
+impl<W> Directory<W> {
+    fn serving(&self) -> Vec<SocketAddr> {
+        let state = self.shared.state();
+        let peers = state.peers.serving(Instant::now());
+        let mut addresses = peers.map(|p| p.front).collect::<Vec<_>>();
+        if state.is_ready() {
+            addresses.push(self.shared.settings.front);
+        }
+        addresses.truncate(MAX_ADDRESSES);
+        addresses
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gossip.rs
@@ -0,0 +1,160 @@
+//! Heartbeats between gateways, as datagrams.
+//!
+//! Each carries who the sender is, what it knows, and its whole list of work in
+//! flight, so that a lost one is made good by the next.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Receiver;
+use async_io::Timer;
+use async_net::UdpSocket;
+use briarhall_policy::board::Work;
+use briarhall_policy::peers::DOWN_AFTER;
+use briarhall_policy::peers::HEARTBEAT;
+use briarhall_policy::peers::Heard;
+use briarhall_policy::peers::Presence;
+use futures_lite::future;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::state::Shared;
+
+/// Shortest time between two heartbeats that tell of changes.
+const COALESCE: Duration = Duration::from_millis(8);
+/// Largest datagram that is sent; a list that does not fit is cut.
+const MAX_DATAGRAM: usize = 32 * 1024;
+/// Addresses of others that a heartbeat carries.
+const MAX_KNOWN: usize = 16;
+
+/// What gateways tell each other.
+#[derive(Debug, Serialize, Deserialize)]
+struct Heartbeat {
+    presence: Presence,
+    works: Vec<Work>,
+    /// Gateways that the sender knows of.
+    known: Vec<SocketAddr>,
+}
+
+/// Sends heartbeats on every change, and regularly.
+pub async fn send(shared: Arc<Shared>, socket: UdpSocket, asked: Receiver<()>) {
+    loop {
+        let (text, to) = compose(&shared);
+        for address in to {
+            if let Err(e) = socket.send_to(&text, address).await {
+                log::debug!(to = address.to_string().as_str(), error = e.to_string().as_str(); "cannot send a heartbeat");
+            }
+        }
+        Timer::after(COALESCE).await;
+        let change = async {
+            // The channel stays open as long as the state lives.
+            let _asked = asked.recv().await;
+        };
+        let regular = async {
+            Timer::after(HEARTBEAT).await;
+        };
+        future::or(change, regular).await;
+    }
+}
+
+fn compose(shared: &Shared) -> (Vec<u8>, Vec<SocketAddr>) {
+    let now = Instant::now();
+    let mut state = shared.state();
+    state.peers.forget(now);
+    let known = state.peers.up(now).map(|p| p.mesh).take(MAX_KNOWN);
+    let known = known.collect::<Vec<_>>();
+    let mut to = state.peers.addresses().collect::<Vec<_>>();
+    let mut heartbeat = Heartbeat {
+        presence: shared.presence(&mut state),
+        works: state.board.own(now),
+        known,
+    };
+    drop(state);
+    to.extend(shared.settings.seeds.iter().copied());
+    to.sort_unstable();
+    to.dedup();
+    to.retain(|address| *address != shared.settings.gossip);
+    let mut text = encode(&heartbeat);
+    if text.len() > MAX_DATAGRAM {
+        let works = heartbeat.works.len();
+        log::warn!(event = "heartbeat_cut", works; "too much work in flight for one heartbeat");
+        heartbeat
+            .works
+            .truncate(works * MAX_DATAGRAM / text.len() / 2);
+        text = encode(&heartbeat);
+    }
+    (text, to)
+}
+
+fn encode(heartbeat: &Heartbeat) -> Vec<u8> {
+    postcard::to_stdvec(heartbeat).expect("a heartbeat has only types that postcard holds")
+}
+
+/// Takes heartbeats.
+pub async fn receive(shared: Arc<Shared>, socket: UdpSocket) {
+    let mut buf = vec![0; MAX_DATAGRAM + 1_024];
+    loop {
+        let len = match socket.recv_from(&mut buf).await {
+            Ok((len, _from)) => len,
+            Err(e) => {
+                log::debug!(error = e.to_string().as_str(); "cannot receive a heartbeat");
+                Timer::after(COALESCE).await;
+                continue;
+            }
+        };
+        match postcard::from_bytes::<Heartbeat>(&buf[..len]) {
+            Ok(heartbeat) => take(&shared, heartbeat),
+            Err(e) => {
+                log::debug!(error = e.to_string().as_str(), len; "a datagram is no heartbeat");
+            }
+        }
+    }
+}
+
+fn take(shared: &Shared, heartbeat: Heartbeat) {
+    let now = Instant::now();
+    let Heartbeat {
+        presence,
+        works,
+        known,
+    } = heartbeat;
+    if presence.vm == shared.settings.vm && presence.incarnation == shared.incarnation {
+        return;
+    }
+    let mut state = shared.state();
+    let vm = presence.vm.clone();
+    let (ready, stopping) = (presence.ready, presence.stopping);
+    let new = known.into_iter().filter(|a| *a != shared.settings.gossip);
+    let new = new.collect::<Vec<_>>();
+    state.peers.introduce(&new, now);
+    let heard = state.peers.heard(presence, now);
+    if heard == Heard::Stale {
+        return;
+    }
+    state.board.told(vm.clone(), works, now);
+    drop(state);
+    if matches!(heard, Heard::Up | Heard::Changed) {
+        log::info!(event = "peer", peer = vm.as_str(), ready, stopping, up = true; "peer");
+        if heard == Heard::Up {
+            shared.tell_peers();
+        }
+    }
+}
+
+/// Drops what gateways that went down had in flight.
+pub async fn bury(shared: Arc<Shared>) {
+    loop {
+        Timer::after(DOWN_AFTER / 2).await;
+        let now = Instant::now();
+        let mut state = shared.state();
+        let up = state.peers.up(now).map(|p| p.vm.clone());
+        let up = up.collect::<Vec<_>>();
+        let gone = state.board.retain_peers(|vm| up.contains(vm));
+        drop(state);
+        for vm in gone {
+            log::info!(event = "peer", peer = vm.as_str(), up = false; "peer");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/job.rs
@@ -0,0 +1,104 @@
+//! A client's request on its way through the gateway.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use briarhall_policy::placement::Prompt;
+use briarhall_types::EngineSpec;
+use briarhall_types::Organisation;
+use briarhall_types::Route;
+use briarhall_types::RouteKind;
+use briarhall_types::ServiceName;
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Uri;
+
+use crate::state::InFlight;
+use crate::wire::RequestHead;
+
+/// Objective of a route that states none.
+const DEFAULT_OBJECTIVE: Duration = Duration::from_secs(1);
+/// Acceptable pause of a route that states none.
+const DEFAULT_PAUSE: Duration = Duration::from_secs(1);
+/// Time a request may take when neither client nor route states one.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+/// Output assumed where the request states none, in tokens.
+const DEFAULT_OUTPUT: u64 = 1_000;
+
+/// A request that was admitted.
+#[derive(Debug)]
+pub struct Job {
+    /// What its head says.
+    pub head: RequestHead,
+    /// Method, passed on as it is.
+    pub method: Method,
+    /// Path and query, passed on as they are.
+    pub uri: Uri,
+    /// Headers as the client sent them.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// Route that it takes.
+    pub route: Arc<Route>,
+    /// Service that the route chose for it.
+    pub service: ServiceName,
+    /// Speed of the service's engines, unless it is a plain service.
+    pub engine: Option<Arc<EngineSpec>>,
+    /// Who sent it.
+    pub organisation: Option<Arc<Organisation>>,
+    /// When its head had come.
+    pub arrived: Instant,
+    /// When its client leaves or its route's time is over.
+    pub ends: Instant,
+    /// Keeps the process from stopping.
+    pub _in_flight: InFlight,
+}
+
+/// Returns when a request's time is over.
+#[must_use]
+pub fn ends(head: &RequestHead, route: &Route, arrived: Instant) -> Instant {
+    let limits = [head.deadline, route.timeout];
+    let limit = limits.into_iter().flatten().min();
+    arrived + limit.unwrap_or(DEFAULT_DEADLINE)
+}
+
+impl Job {
+    /// Returns the time left.
+    #[must_use]
+    pub fn left(&self) -> Duration {
+        self.ends.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns all the time that the request had.
+    #[must_use]
+    pub fn whole(&self) -> Duration {
+        self.ends.saturating_duration_since(self.arrived)
+    }
+
+    /// Returns whether it may be sent again when an earlier send may have run.
+    #[must_use]
+    pub fn repeatable(&self) -> bool {
+        match self.route.kind {
+            RouteKind::Idempotent => true,
+            RouteKind::NonIdempotent => false,
+            RouteKind::Streaming => self.route.resumable,
+        }
+    }
+
+    /// Returns what it needs of an engine, when `written` tokens of the answer
+    /// are to be read again.
+    #[must_use]
+    pub fn prompt(&self, written: u64) -> Prompt {
+        let objective = self.route.objective.unwrap_or(DEFAULT_OBJECTIVE);
+        let pause = self.route.pause_objective.unwrap_or(DEFAULT_PAUSE);
+        Prompt {
+            tokens: self.head.prompt_tokens.unwrap_or(0) + written,
+            max_output: self.head.output_tokens.unwrap_or(DEFAULT_OUTPUT),
+            objective_ms: objective.as_secs_f64() * 1_000.0,
+            pause_ms: pause.as_secs_f64() * 1_000.0,
+            deadline_ms: self.left().as_secs_f64() * 1_000.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,44 @@
+//! A gateway before replicas of services that it does not own.
+//!
+//! It selects a route by host and path, checks the caller's key, places the
+//! request at a replica, sends it again where that is safe, and passes the
+//! answer on. What the outside is called on the wire is left to two traits:
+//! [`Wire`] reads and writes heads, [`ControlPlane`] reads the configuration
+//! and the registry of replicas. Decisions are taken in `briarhall-policy`.
+
+mod answer;
+mod attempt;
+mod client_request;
+mod config_watch;
+mod control_plane;
+mod directory;
+mod error;
+mod gossip;
+mod job;
+mod plain;
+mod relay;
+mod replica_watch;
+mod settings;
+mod sse;
+mod start;
+mod state;
+mod stop;
+mod stream;
+mod wire;
+
+pub use briarhall_policy::window_budget::BudgetBound;
+pub use client_request::remove_connection_headers;
+pub use control_plane::ConfigurationChange;
+pub use control_plane::ConfigurationSnapshot;
+pub use control_plane::ControlPlane;
+pub use control_plane::ReplicaChanges;
+pub use control_plane::ReplicaSnapshot;
+pub use error::StartError;
+pub use settings::Settings;
+pub use start::run;
+pub use wire::HeadProblem;
+pub use wire::Helper;
+pub use wire::Outgoing;
+pub use wire::ReplyHead;
+pub use wire::RequestHead;
+pub use wire::Wire;
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,192 @@
+//! What a gateway cannot read from the store itself, it reads from another.
+//!
+//! The store may turn one VM away and serve the others, and a watch may have
+//! gone silent. Heartbeats tell which revisions the others hold; one that stays
+//! behind for a moment asks a gateway that is ahead.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use briarhall_net::Body;
+use briarhall_net::Call;
+use briarhall_net::Handler;
+use briarhall_net::HttpClient;
+use briarhall_net::HttpError;
+use briarhall_net::json;
+use briarhall_net::status;
+use briarhall_types::Configuration;
+use briarhall_types::ReplicaEntry;
+use briarhall_types::Revision;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::state::Shared;
+
+const CONFIGURATION_PATH: &str = "/configuration";
+const REPLICAS_PATH: &str = "/replicas";
+/// Time between two looks at what the others hold.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Time for the own watch to deliver what another gateway has already: watches
+/// deliver within milliseconds.
+const OWN_WATCH: Duration = Duration::from_millis(200);
+/// Time for one read from another gateway.
+const READ_LIMIT: Duration = Duration::from_millis(600);
+
+/// The configuration as gateways pass it on.
+#[derive(Debug, Serialize, Deserialize)]
+struct RelayedConfiguration {
+    revision: Revision,
+    configuration: Arc<Configuration>,
+}
+
+/// The list of replicas as gateways pass it on.
+#[derive(Debug, Serialize, Deserialize)]
+struct RelayedReplicas {
+    revision: Revision,
+    entries: Vec<ReplicaEntry>,
+}
+
+/// Answers other gateways.
+#[derive(Debug, Clone)]
+pub struct RelayService {
+    /// Control state.
+    pub shared: Arc<Shared>,
+}
+
+impl Handler for RelayService {
+    async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        let state = self.shared.state();
+        match req.uri().path() {
+            CONFIGURATION_PATH => match &state.in_force {
+                Some(held) => json(
+                    StatusCode::OK,
+                    &RelayedConfiguration {
+                        revision: held.revision,
+                        configuration: Arc::clone(&held.configuration),
+                    },
+                ),
+                None => status(StatusCode::SERVICE_UNAVAILABLE),
+            },
+            REPLICAS_PATH if state.registry_known => json(
+                StatusCode::OK,
+                &RelayedReplicas {
+                    revision: state.replicas.revision(),
+                    entries: state.replicas.entries(),
+                },
+            ),
+            REPLICAS_PATH => status(StatusCode::SERVICE_UNAVAILABLE),
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+/// Since when another gateway has been ahead.
+#[derive(Debug, Default)]
+struct Behind {
+    since: Option<Instant>,
+}
+
+impl Behind {
+    /// Returns whether it is time to ask the gateway that is ahead, if any is.
+    fn is_due(&mut self, ahead: bool, now: Instant) -> bool {
+        if !ahead {
+            self.since = None;
+            return false;
+        }
+        let since = *self.since.get_or_insert(now);
+        now.saturating_duration_since(since) >= OWN_WATCH
+    }
+}
+
+/// Keeps up with the other gateways.
+pub async fn follow(shared: Arc<Shared>, client: HttpClient) {
+    let mut configuration = Behind::default();
+    let mut replicas = Behind::default();
+    loop {
+        Timer::after(LOOK_EVERY).await;
+        let now = Instant::now();
+        let Ahead {
+            configuration_at,
+            replicas_at,
+        } = ahead(&shared, now);
+        if configuration.is_due(configuration_at.is_some(), now)
+            && let Some(at) = configuration_at
+        {
+            log_read(
+                "configuration",
+                at,
+                &read_configuration(&shared, &client, at).await,
+            );
+        }
+        if replicas.is_due(replicas_at.is_some(), now)
+            && let Some(at) = replicas_at
+        {
+            log_read("replicas", at, &read_replicas(&shared, &client, at).await);
+        }
+    }
+}
+
+/// Gateways that hold later objects than this one.
+struct Ahead {
+    configuration_at: Option<SocketAddr>,
+    replicas_at: Option<SocketAddr>,
+}
+
+fn ahead(shared: &Shared, now: Instant) -> Ahead {
+    let state = shared.state();
+    let held = state.in_force.as_ref().map_or(0, |held| held.revision);
+    let configuration = state.peers.newer_configuration(held, now);
+    let replicas = state.peers.newer_replicas(state.replicas.revision(), now);
+    Ahead {
+        configuration_at: configuration.map(|p| p.relay),
+        replicas_at: replicas.map(|p| p.relay),
+    }
+}
+
+async fn read_configuration(
+    shared: &Shared,
+    client: &HttpClient,
+    at: SocketAddr,
+) -> Result<(), HttpError> {
+    let call = Call::get(at, CONFIGURATION_PATH);
+    let relayed = client
+        .fetch::<RelayedConfiguration>(call, READ_LIMIT)
+        .await?;
+    let configuration = Arc::unwrap_or_clone(relayed.configuration);
+    shared.put_in_force(configuration, relayed.revision, "peer");
+    Ok(())
+}
+
+async fn read_replicas(
+    shared: &Shared,
+    client: &HttpClient,
+    at: SocketAddr,
+) -> Result<(), HttpError> {
+    let call = Call::get(at, REPLICAS_PATH);
+    let relayed = client.fetch::<RelayedReplicas>(call, READ_LIMIT).await?;
+    let mut state = shared.state();
+    let events = state.replicas.relayed(relayed.entries, relayed.revision);
+    state.registry_known = true;
+    shared.note_replicas(&mut state, &events, "peer");
+    drop(state);
+    shared.tell_peers();
+    Ok(())
+}
+
+fn log_read(what: &str, from: SocketAddr, read: &Result<(), HttpError>) {
+    let from = from.to_string();
+    match read {
+        Ok(()) => log::info!(event = "relayed", what, from = from.as_str(); "read from a peer"),
+        Err(e) => {
+            let error = e.to_string();
+            log::info!(event = "relay_failed", what, from = from.as_str(), error = error.as_str(); "cannot read from a peer");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/start.rs
@@ -0,0 +1,162 @@
+//! Wires a gateway together and runs it until it is told to stop.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_net::TcpListener;
+use async_net::UdpSocket;
+use async_signal::Signal;
+use async_signal::Signals;
+use briarhall_net::Executor;
+use briarhall_net::Handler;
+use briarhall_net::HttpClient;
+use briarhall_net::LogTarget;
+use briarhall_net::Logging;
+use briarhall_net::ServerOptions;
+use briarhall_net::SessionLimits;
+use briarhall_net::Sessions;
+use briarhall_net::bind;
+use briarhall_net::serve;
+use briarhall_types::ClientLimits;
+use futures_lite::StreamExt;
+
+use crate::attempt::Sender;
+use crate::client_request::ClientRequests;
+use crate::config_watch;
+use crate::control_plane::ControlPlane;
+use crate::directory::Directory;
+use crate::error::StartError;
+use crate::gossip;
+use crate::relay;
+use crate::relay::RelayService;
+use crate::replica_watch;
+use crate::settings::Settings;
+use crate::state::Shared;
+use crate::stop::stop;
+use crate::wire::Wire;
+
+/// Runs a gateway until it is told to stop.
+///
+/// # Errors
+///
+/// Returns an error when it cannot start.
+pub fn run<W, C, F>(settings: Settings, wire: W, control_plane: F) -> Result<(), StartError>
+where
+    W: Wire,
+    C: ControlPlane,
+    F: FnOnce(HttpClient) -> C,
+{
+    let _logging = Logging::start(&settings.log, LogTarget::Stdout)?;
+    let executor = Executor::default();
+    let client = HttpClient::new(executor.clone());
+    let plane = control_plane(client.clone());
+    executor
+        .clone()
+        .block_on(run_until_stopped(settings, wire, plane, client, executor))
+}
+
+async fn run_until_stopped<W, C>(
+    settings: Settings,
+    wire: W,
+    plane: C,
+    client: HttpClient,
+    executor: Executor,
+) -> Result<(), StartError>
+where
+    W: Wire,
+    C: ControlPlane,
+{
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(StartError::Signals)?;
+    log::info!(event = "start", vm = settings.vm.as_str(), version = env!("CARGO_PKG_VERSION"); "start");
+    let (shared, asked) = Shared::new(settings);
+    let settings = &shared.settings;
+    let socket = UdpSocket::bind(settings.gossip).await;
+    let socket = socket.map_err(|e| bind_error("gossip", settings.gossip, e))?;
+    executor.detach(gossip::receive(Arc::clone(&shared), socket.clone()));
+    executor.detach(gossip::send(Arc::clone(&shared), socket, asked));
+    executor.detach(gossip::bury(Arc::clone(&shared)));
+    executor.detach(config_watch::follow(Arc::clone(&shared), plane.clone()));
+    executor.detach(replica_watch::follow(Arc::clone(&shared), plane));
+    executor.detach(replica_watch::expire(Arc::clone(&shared)));
+    executor.detach(relay::follow(Arc::clone(&shared), client.clone()));
+    let relay = RelayService {
+        shared: Arc::clone(&shared),
+    };
+    serve_on(&executor, "relay", settings.relay, relay)?;
+    let directory = Directory {
+        wire: wire.clone(),
+        shared: Arc::clone(&shared),
+    };
+    if let Some(address) = settings.ready {
+        serve_on(&executor, "ready", address, directory.clone())?;
+    }
+    if let Some(address) = settings.directory {
+        serve_on(&executor, "directory", address, directory)?;
+    }
+    let (end_sessions, end) = async_channel::bounded(1);
+    let sessions = Sessions::new(
+        executor.clone(),
+        session_limits(ClientLimits::default()),
+        end,
+    );
+    shared.limit_sessions(sessions.clone());
+    let requests = ClientRequests {
+        sender: Sender {
+            wire,
+            client,
+            shared: Arc::clone(&shared),
+        },
+        executor: executor.clone(),
+    };
+    let listener = listen("front", settings.front)?;
+    executor.detach(sessions.serve(listener, requests));
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => {
+                log::info!(event = "reload"; "nothing in the settings can change while running")
+            }
+            Ok(_) => break,
+            Err(e) => return Err(StartError::Signals(e)),
+        }
+    }
+    stop(&shared, end_sessions).await;
+    Ok(())
+}
+
+/// Returns the bounds of a configuration on clients' connections.
+pub fn session_limits(limits: ClientLimits) -> SessionLimits {
+    SessionLimits {
+        max_header_bytes: limits.max_header_bytes,
+        header_timeout: limits.header_timeout,
+        idle_timeout: limits.idle_timeout,
+    }
+}
+
+fn serve_on<H>(
+    executor: &Executor,
+    field: &'static str,
+    address: SocketAddr,
+    handler: H,
+) -> Result<(), StartError>
+where
+    H: Handler,
+{
+    let listener = listen(field, address)?;
+    let options = ServerOptions::default();
+    executor.detach(serve(listener, executor.clone(), options, handler));
+    Ok(())
+}
+
+fn listen(field: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    bind(address).map_err(|e| bind_error(field, address, e))
+}
+
+fn bind_error(field: &'static str, address: SocketAddr, source: io::Error) -> StartError {
+    StartError::Bind {
+        field,
+        address,
+        source,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,297 @@
+//! The control state of a gateway, behind one lock that is held for a decision
+//! and never while waiting.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+use std::time::Instant;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use briarhall_net::Sessions;
+use briarhall_policy::board::Board;
+use briarhall_policy::board::Work;
+use briarhall_policy::board::WorkKey;
+use briarhall_policy::health::Health;
+use briarhall_policy::health::Outcome;
+use briarhall_policy::peers::Incarnation;
+use briarhall_policy::peers::Peers;
+use briarhall_policy::peers::Presence;
+use briarhall_policy::replicas::Belief;
+use briarhall_policy::replicas::Event;
+use briarhall_policy::replicas::Replicas;
+use briarhall_policy::routes::RouteTable;
+use briarhall_policy::window_budget::WindowBudget;
+use briarhall_types::Configuration;
+use briarhall_types::ReplicaId;
+use briarhall_types::Revision;
+use briarhall_types::ServiceName;
+
+use crate::settings::Settings;
+use crate::start::session_limits;
+
+/// Gateways that are assumed to share a budget even when fewer are heard: a
+/// gateway that is cut off must not spend the others' part.
+const FEWEST_GATEWAYS: usize = 10;
+
+/// The configuration in force.
+#[derive(Debug, Clone)]
+pub struct InForce {
+    /// Revision that wrote it.
+    pub revision: Revision,
+    /// As it was read, for other gateways.
+    pub configuration: Arc<Configuration>,
+    /// Indexed.
+    pub table: Arc<RouteTable>,
+}
+
+/// All control state.
+#[derive(Debug)]
+pub struct State {
+    /// The configuration, once one is known.
+    pub in_force: Option<InForce>,
+    /// Replicas by the registry.
+    pub replicas: Replicas,
+    /// Whether the registry was read since the start.
+    pub registry_known: bool,
+    /// Replicas by what happened there.
+    pub health: Health,
+    /// Work in flight.
+    pub board: Board,
+    /// Other gateways.
+    pub peers: Peers,
+    /// Whether this gateway is about to stop.
+    pub stopping: bool,
+    /// Client requests that are not yet answered in full.
+    pub in_flight: usize,
+    budgets: HashMap<ServiceName, WindowBudget>,
+    sequence: u64,
+}
+
+/// Shares the control state between the tasks of a gateway.
+#[derive(Debug)]
+pub struct Shared {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// Drawn at the start.
+    pub incarnation: Incarnation,
+    state: Mutex<State>,
+    tell_peers: Sender<()>,
+    sessions: OnceLock<Sessions>,
+}
+
+impl Shared {
+    /// Creates the state of a process that knows nothing. Whoever tells the
+    /// peers waits at the receiver.
+    #[must_use]
+    pub fn new(settings: Settings) -> (Arc<Self>, Receiver<()>) {
+        let (tell_peers, told) = async_channel::bounded(1);
+        let state = State {
+            in_force: None,
+            replicas: Replicas::default(),
+            registry_known: false,
+            health: Health::default(),
+            board: Board::default(),
+            peers: Peers::default(),
+            stopping: false,
+            in_flight: 0,
+            budgets: HashMap::new(),
+            sequence: 0,
+        };
+        let shared = Self {
+            settings,
+            incarnation: rand::random(),
+            state: Mutex::new(state),
+            tell_peers,
+            sessions: OnceLock::new(),
+        };
+        (Arc::new(shared), told)
+    }
+
+    /// Locks the state for a decision.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the sessions whose limits follow the configuration.
+    pub fn limit_sessions(&self, sessions: Sessions) {
+        let known = self
+            .state()
+            .in_force
+            .as_ref()
+            .map(|held| held.table.limits());
+        if let Some(limits) = known {
+            sessions.set_limits(session_limits(limits));
+        }
+        // Called once, at the start.
+        let _set_before = self.sessions.set(sessions);
+    }
+
+    /// Asks for a heartbeat soon, as something that peers need has changed.
+    pub fn tell_peers(&self) {
+        // A full channel means that one is about to be sent.
+        let _already_asked = self.tell_peers.try_send(());
+    }
+
+    /// Notes a client's request, which earns a part of a repeat.
+    pub fn note_arrival(&self, service: &ServiceName) {
+        let mut state = self.state();
+        let budget = state.budget(service, &self.settings);
+        budget.arrived(Instant::now());
+    }
+
+    /// Puts a configuration in force unless a later one is.
+    pub fn put_in_force(&self, configuration: Configuration, revision: Revision, source: &str) {
+        let mut state = self.state();
+        let held = state.in_force.as_ref();
+        if held.is_some_and(|held| held.revision >= revision) {
+            return;
+        }
+        let version = configuration.version;
+        log::info!(event = "configuration", version, revision, source; "configuration in force");
+        let table = Arc::new(RouteTable::new(configuration.clone()));
+        if let Some(sessions) = self.sessions.get() {
+            sessions.set_limits(session_limits(table.limits()));
+        }
+        state.in_force = Some(InForce {
+            revision,
+            configuration: Arc::new(configuration),
+            table,
+        });
+        drop(state);
+        self.tell_peers();
+    }
+
+    /// Logs what became known of replicas, and forgets the past of those that
+    /// are gone or new.
+    pub fn note_replicas(&self, state: &mut State, events: &[Event], source: &str) {
+        for event in events {
+            if matches!(event.what, Belief::Gone | Belief::Restarted) {
+                state.health.forget(&event.id);
+            }
+            log::info!(
+                event = "replica",
+                replica = event.id.as_str(),
+                belief = event.what.as_str(),
+                revision = event.revision,
+                source;
+                "replica"
+            );
+        }
+    }
+
+    /// Describes this gateway to others.
+    pub fn presence(&self, state: &mut State) -> Presence {
+        state.sequence += 1;
+        Presence {
+            vm: self.settings.vm.clone(),
+            incarnation: self.incarnation,
+            sequence: state.sequence,
+            mesh: self.settings.gossip,
+            relay: self.settings.relay,
+            front: self.settings.front,
+            zone: self.settings.zone.clone(),
+            ready: state.is_ready(),
+            stopping: state.stopping,
+            configuration: state.in_force.as_ref().map_or(0, |held| held.revision),
+            replicas: state.replicas.revision(),
+        }
+    }
+}
+
+impl State {
+    /// Returns whether requests can be served.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.in_force.is_some() && self.registry_known && !self.stopping
+    }
+
+    /// Returns the budget for sending requests of a service again.
+    pub fn budget(&mut self, service: &ServiceName, settings: &Settings) -> &mut WindowBudget {
+        let budget = self.budgets.entry(service.clone());
+        budget.or_insert_with(|| WindowBudget::new(settings.budget))
+    }
+
+    /// Returns how many gateways share the budgets.
+    #[must_use]
+    pub fn gateways(&self) -> usize {
+        (self.peers.count() + 1).max(FEWEST_GATEWAYS)
+    }
+}
+
+/// Work that is on the board as long as this lives.
+#[derive(Debug)]
+pub struct Placed {
+    shared: Arc<Shared>,
+    first: WorkKey,
+    helpers: Vec<WorkKey>,
+}
+
+impl Placed {
+    /// Puts work on the board.
+    pub fn new(shared: &Arc<Shared>, state: &mut State, first: Work, helpers: &[Work]) -> Self {
+        let now = Instant::now();
+        let helpers = helpers.iter().map(|work| state.board.sent(*work, now));
+        let helpers = helpers.collect();
+        let first = state.board.sent(first, now);
+        shared.tell_peers();
+        Self {
+            shared: Arc::clone(shared),
+            first,
+            helpers,
+        }
+    }
+
+    /// The prompt was read.
+    pub fn writes(&mut self) {
+        let mut state = self.shared.state();
+        state.board.writes(self.first);
+        for helper in self.helpers.drain(..) {
+            state.board.ended(helper);
+        }
+        drop(state);
+        self.shared.tell_peers();
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        let mut state = self.shared.state();
+        state.board.ended(self.first);
+        for helper in &self.helpers {
+            state.board.ended(*helper);
+        }
+        drop(state);
+        self.shared.tell_peers();
+    }
+}
+
+/// Counts a client's request as long as it is not answered in full.
+#[derive(Debug)]
+pub struct InFlight {
+    shared: Arc<Shared>,
+}
+
+impl InFlight {
+    /// Counts a request.
+    pub fn new(shared: &Arc<Shared>) -> Self {
+        shared.state().in_flight += 1;
+        Self {
+            shared: Arc::clone(shared),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shared.state().in_flight -= 1;
+    }
+}
+
+/// Notes what happened at a replica.
+pub fn note_outcome(shared: &Shared, id: &ReplicaId, outcome: Outcome) {
+    shared.state().health.note(id, outcome, Instant::now());
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,417 @@
+//! Requests whose answer is a stream of events.
+//!
+//! Nothing is shown to the client before the first whole event, so that until
+//! then another replica can take over unseen. After that a stream that breaks
+//! goes on at another replica after the last event, where the route allows it.
+
+use std::pin::pin;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use briarhall_net::Body;
+use briarhall_net::BodySender;
+use briarhall_net::Exchange;
+use briarhall_net::Executor;
+use briarhall_net::timeout;
+use briarhall_policy::health::Outcome;
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures_lite::future;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::http::response;
+
+use crate::answer::GiveUp;
+use crate::attempt::Place;
+use crate::attempt::Sender;
+use crate::attempt::Sends;
+use crate::attempt::Sent;
+use crate::attempt::elapsed_ms;
+use crate::job::Job;
+use crate::plain::last_word;
+use crate::sse::Event;
+use crate::sse::EventSplitter;
+use crate::state::note_outcome;
+use crate::wire::Wire;
+
+/// Shortest silence that counts as a failure: the longest pass of a sound
+/// engine is below it.
+const SHORTEST_SILENCE: Duration = Duration::from_secs(3);
+/// Silence before the first event, in predicted times to it.
+const SILENCE_IN_PREDICTIONS: f64 = 3.0;
+/// Silence between events, in acceptable pauses.
+const SILENCE_IN_PAUSES: u32 = 6;
+/// Kept back to tell the client that its time is over.
+const TO_TELL: Duration = Duration::from_millis(20);
+/// Pause after a replica turned a request away.
+const AFTER_REFUSAL: Duration = Duration::from_millis(10);
+/// Tokens of one event, to know what a resumed stream must read again.
+const EVENT_TOKENS: u64 = 40;
+
+/// An answer that has begun at a replica.
+struct Source {
+    place: Place,
+    body: Incoming,
+    splitter: EventSplitter,
+    _connection: briarhall_net::Connection,
+}
+
+enum Next {
+    Event(Event),
+    /// The replica ended its answer as it should; what was not a whole event.
+    End(Bytes),
+    Broken(CompactString),
+    Silent,
+}
+
+/// Serves a stream; its rest goes on in a task of its own.
+///
+/// # Errors
+///
+/// Returns the answer for the client when no replica began one.
+pub async fn serve<W>(
+    sender: &Sender<W>,
+    executor: &Executor,
+    job: Job,
+) -> Result<Response<Body>, GiveUp>
+where
+    W: Wire,
+{
+    let mut sends = Sends::default();
+    loop {
+        let place = sender.place(&job, &sends, 0).await?;
+        let began = begin(sender, &job, place, None, &mut sends).await;
+        let ran = match began {
+            Began::Events {
+                parts,
+                source,
+                first,
+            } => {
+                let (tx, body) = Body::channel();
+                let mut reply = Response::new(body);
+                *reply.status_mut() = parts.status;
+                *reply.headers_mut() = parts.headers;
+                crate::client_request::remove_connection_headers(reply.headers_mut());
+                reply.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+                let sender = sender.clone();
+                executor.detach(async move {
+                    Relay::new(sender, job, sends).run(*source, first, tx).await;
+                });
+                return Ok(reply);
+            }
+            Began::Other(parts, body) => {
+                let again =
+                    parts.status.is_server_error() && sender.may_send_again(&job, &sends, true);
+                if !again {
+                    log_end(&job, "passed_on", parts.status.as_u16(), 0, &sends);
+                    let mut reply = Response::new(Body::whole(body));
+                    *reply.status_mut() = parts.status;
+                    *reply.headers_mut() = parts.headers;
+                    crate::client_request::remove_connection_headers(reply.headers_mut());
+                    return Ok(reply);
+                }
+                true
+            }
+            Began::NotRun => false,
+            Began::Lost => true,
+        };
+        if !sender.may_send_again(&job, &sends, ran) {
+            return Err(last_word(&job, &sends));
+        }
+        if !ran {
+            Timer::after(AFTER_REFUSAL).await;
+        }
+    }
+}
+
+/// How an answer began.
+enum Began {
+    Events {
+        parts: Box<response::Parts>,
+        source: Box<Source>,
+        first: Next,
+    },
+    /// An answer that is no stream of events, whole.
+    Other(Box<response::Parts>, Bytes),
+    NotRun,
+    Lost,
+}
+
+async fn begin<W>(
+    sender: &Sender<W>,
+    job: &Job,
+    place: Place,
+    resume_after: Option<&str>,
+    sends: &mut Sends,
+) -> Began
+where
+    W: Wire,
+{
+    let left = job.left().saturating_sub(TO_TELL);
+    let predicted = Duration::from_secs_f64(place.predicted_ms.max(0.0) / 1_000.0);
+    let silence = predicted
+        .mul_f64(SILENCE_IN_PREDICTIONS)
+        .max(SHORTEST_SILENCE);
+    let again = job.repeatable() && sends.may_have_run + 1 < job.route.max_attempts;
+    let limit = if again { silence.min(left) } else { left };
+    let until = Instant::now() + limit;
+    let exchange = match sender.send(job, &place, resume_after, limit, sends).await {
+        Sent::Answer(exchange, _head) => *exchange,
+        Sent::NotRun => return Began::NotRun,
+        Sent::Lost => return Began::Lost,
+    };
+    let Exchange { reply, connection } = exchange;
+    let (parts, body) = reply.into_parts();
+    if !parts.status.is_success() {
+        let whole = briarhall_net::read_limited(body, 1024 * 1024);
+        return match timeout(left, whole).await {
+            Ok(Ok(body)) => {
+                if parts.status.is_server_error() {
+                    note_outcome(&sender.shared, &place.replica.id, Outcome::Failed);
+                }
+                Began::Other(Box::new(parts), body)
+            }
+            Ok(Err(_)) | Err(_) => Began::Lost,
+        };
+    }
+    let mut source = Source {
+        place,
+        body,
+        splitter: EventSplitter::default(),
+        _connection: connection,
+    };
+    let wait = until.saturating_duration_since(Instant::now());
+    let first = source.next(wait).await;
+    if let Next::Broken(_) | Next::Silent = &first {
+        log_break(job, &source.place.replica.id, &first, 0);
+        note_outcome(&sender.shared, &source.place.replica.id, outcome_of(&first));
+        return Began::Lost;
+    }
+    source.place.placed.writes();
+    Began::Events {
+        parts: Box::new(parts),
+        source: Box::new(source),
+        first,
+    }
+}
+
+impl Source {
+    async fn next(&mut self, limit: Duration) -> Next {
+        let reading = async {
+            loop {
+                if let Some(event) = self.splitter.next_event() {
+                    return Next::Event(event);
+                }
+                match self.body.frame().await {
+                    None => return Next::End(self.splitter.take_rest()),
+                    Some(Err(e)) => return Next::Broken(CompactString::from(e.to_string())),
+                    Some(Ok(frame)) => {
+                        let Some(data) = frame.data_ref() else {
+                            continue;
+                        };
+                        if let Err(e) = self.splitter.push(data) {
+                            return Next::Broken(CompactString::from(e.to_string()));
+                        }
+                    }
+                }
+            }
+        };
+        timeout(limit, reading).await.unwrap_or(Next::Silent)
+    }
+}
+
+/// Passes the events of one stream on, from one replica after the other.
+struct Relay<W> {
+    sender: Sender<W>,
+    job: Job,
+    sends: Sends,
+    last_id: Option<CompactString>,
+    events: u64,
+}
+
+enum Ended {
+    Complete,
+    ClientLeft,
+    TimeOver,
+    Broken,
+}
+
+impl Ended {
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::ClientLeft => "client_left",
+            Self::TimeOver => "time_over",
+            Self::Broken => "broken",
+        }
+    }
+}
+
+impl<W> Relay<W>
+where
+    W: Wire,
+{
+    fn new(sender: Sender<W>, job: Job, sends: Sends) -> Self {
+        Self {
+            sender,
+            job,
+            sends,
+            last_id: None,
+            events: 0,
+        }
+    }
+
+    async fn run(mut self, source: Source, first: Next, tx: BodySender) {
+        let ends = self.job.ends;
+        let first_ms = elapsed_ms(self.job.arrived);
+        let ended = {
+            let left = async {
+                tx.closed().await;
+                Ended::ClientLeft
+            };
+            let over = async {
+                Timer::at(ends).await;
+                Ended::TimeOver
+            };
+            let events = pin!(self.events(source, first, &tx));
+            future::or(events, future::or(left, over)).await
+        };
+        log::info!(
+            event = "ended",
+            request = self.job.head.id.as_str(),
+            outcome = ended.as_str(),
+            first_ms,
+            events = self.events,
+            sends = self.sends.may_have_run + self.sends.refused,
+            total_ms = elapsed_ms(self.job.arrived);
+            "ended"
+        );
+        if matches!(ended, Ended::Complete) {
+            tx.finish().await;
+        }
+        // Dropping the sender without an end breaks the client's connection.
+    }
+
+    async fn events(&mut self, mut source: Source, first: Next, tx: &BodySender) -> Ended {
+        let pause = self.job.route.pause_objective.unwrap_or(SHORTEST_SILENCE);
+        let silence = (pause * SILENCE_IN_PAUSES).max(SHORTEST_SILENCE);
+        let mut next = first;
+        loop {
+            match next {
+                Next::Event(event) => {
+                    if !self.is_repeated(&event) {
+                        if event.id.is_some() {
+                            self.last_id.clone_from(&event.id);
+                        }
+                        self.events += 1;
+                        if tx.send(event.bytes).await.is_err() {
+                            return Ended::ClientLeft;
+                        }
+                    }
+                }
+                Next::End(rest) => {
+                    let id = &source.place.replica.id;
+                    note_outcome(&self.sender.shared, id, Outcome::Answered);
+                    if !rest.is_empty() && tx.send(rest).await.is_err() {
+                        return Ended::ClientLeft;
+                    }
+                    return Ended::Complete;
+                }
+                Next::Broken(_) | Next::Silent => {
+                    let id = source.place.replica.id.clone();
+                    log_break(&self.job, &id, &next, self.events);
+                    note_outcome(&self.sender.shared, &id, outcome_of(&next));
+                    drop(source);
+                    match self.resume().await {
+                        Some((resumed, event)) => {
+                            source = resumed;
+                            next = event;
+                            continue;
+                        }
+                        None => return Ended::Broken,
+                    }
+                }
+            }
+            next = source.next(silence).await;
+        }
+    }
+
+    /// Returns whether the client has an event already.
+    fn is_repeated(&self, event: &Event) -> bool {
+        let number = |id: &CompactString| id.parse::<u64>().ok();
+        match (
+            self.last_id.as_ref().and_then(number),
+            event.id.as_ref().and_then(number),
+        ) {
+            (Some(last), Some(id)) => id <= last,
+            _ => false,
+        }
+    }
+
+    async fn resume(&mut self) -> Option<(Source, Next)> {
+        let after = self.last_id.clone();
+        // Without an id nobody can say where the stream broke.
+        if after.is_none() && self.events > 0 {
+            return None;
+        }
+        let mut ran = true;
+        while self.sender.may_send_again(&self.job, &self.sends, ran) {
+            let written = self.events * EVENT_TOKENS;
+            let place = self
+                .sender
+                .place(&self.job, &self.sends, written)
+                .await
+                .ok()?;
+            let after = after.as_deref();
+            match begin(&self.sender, &self.job, place, after, &mut self.sends).await {
+                Began::Events { source, first, .. } => return Some((*source, first)),
+                Began::Other(..) => return None,
+                Began::NotRun => {
+                    ran = false;
+                    Timer::after(AFTER_REFUSAL).await;
+                }
+                Began::Lost => ran = true,
+            }
+        }
+        None
+    }
+}
+
+fn outcome_of(next: &Next) -> Outcome {
+    match next {
+        Next::Silent => Outcome::Silent,
+        Next::Broken(_) => Outcome::Broken,
+        Next::Event(_) | Next::End(_) => Outcome::Answered,
+    }
+}
+
+fn log_break(job: &Job, replica: &str, next: &Next, events: u64) {
+    let reason = match next {
+        Next::Broken(reason) => reason.as_str(),
+        _ => "silent",
+    };
+    log::info!(
+        event = "stream_broken",
+        request = job.head.id.as_str(),
+        replica,
+        reason,
+        events,
+        after_ms = elapsed_ms(job.arrived);
+        "stream broken"
+    );
+}
+
+fn log_end(job: &Job, outcome: &str, status: u16, events: u64, sends: &Sends) {
+    log::info!(
+        event = "ended",
+        request = job.head.id.as_str(),
+        outcome,
+        status,
+        events,
+        sends = sends.may_have_run + sends.refused,
+        total_ms = elapsed_ms(job.arrived);
+        "ended"
+    );
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -4,10 +4,12 @@
 //! silent for good without either end knowing, and an answer abandoned on it
 //! could be taken for the next one; a fresh one costs a round trip.
 
+use std::error::Error as _;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use async_executor::Task;
 use async_net::TcpStream;
 use hyper::Method;
 use hyper::Request;
@@ -20,6 +22,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use smol_hyper::rt::FuturesIo;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
 use thiserror::Error;
 
 use crate::Body;
@@ -28,6 +32,12 @@
 use crate::timeout;
 
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Quiet time before a connection is probed, and between probes.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection is broken.
+const PROBES: u32 = 2;
+/// Time for sent bytes to be acknowledged, as long as all probes take.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
 const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
 
 /// How far a failed call had come.
@@ -188,6 +198,19 @@
     executor: Executor,
 }
 
+/// Drives a connection; dropping it closes the connection.
+pub type Connection = Task<()>;
+
+/// An answer whose connection lives as long as this does. Dropping it closes
+/// the connection, so that the other end stops working on the request.
+#[derive(Debug)]
+pub struct Exchange {
+    /// The answer's head, and its body as it arrives.
+    pub reply: Response<Incoming>,
+    /// Drives the connection.
+    pub connection: Connection,
+}
+
 impl HttpClient {
     /// Creates a client whose connections run on `executor`.
     #[must_use]
@@ -204,12 +227,42 @@
         let address = call.address;
         let req = call.into_request()?;
         let stream = connect(address, limit.min(CONNECT_LIMIT)).await?;
+        watch_for_silence(&stream);
         let exchange = self.exchange(stream, req, address);
         timeout(limit, exchange)
             .await
             .map_err(|_e| HttpError::Elapsed { address })?
     }
 
+    /// Sends a request that is built already and waits for the head of the
+    /// answer without a limit. Dropping the future closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that tells whether anything may have been sent.
+    pub async fn start(
+        &self,
+        address: SocketAddr,
+        req: Request<Body>,
+        connect_limit: Duration,
+    ) -> Result<Exchange, HttpError> {
+        let broken = |e: hyper::Error| HttpError::Broken {
+            address,
+            reason: describe(&e),
+        };
+        let stream = connect(address, connect_limit).await?;
+        watch_for_silence(&stream);
+        let (mut sender, conn) = http1::handshake(FuturesIo::new(stream))
+            .await
+            .map_err(broken)?;
+        let connection = self.executor.spawn(async move {
+            // Its error reaches the caller through the answer's body.
+            let _seen_by_reader = conn.await;
+        });
+        let reply = sender.send_request(req).await.map_err(broken)?;
+        Ok(Exchange { reply, connection })
+    }
+
     async fn exchange(
         &self,
         stream: TcpStream,
@@ -267,6 +320,28 @@
     }
 }
 
+/// Lets the system probe a connection that is quiet, so that one whose other
+/// end is gone without a word is found broken.
+fn watch_for_silence(stream: &TcpStream) {
+    let keepalive = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_AFTER)
+        .with_retries(PROBES);
+    let socket = SockRef::from(stream);
+    let set = socket
+        .set_tcp_keepalive(&keepalive)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT)));
+    if let Err(e) = set {
+        log::debug!(error = e.to_string().as_str(); "cannot set probes for a quiet connection");
+    }
+}
+
+/// Says what went wrong with the causes below, which hyper leaves out.
+fn describe(e: &hyper::Error) -> String {
+    let cause = e.source().map(|cause| format!(": {cause}"));
+    format!("{e}{}", cause.unwrap_or_default())
+}
+
 async fn connect(address: SocketAddr, limit: Duration) -> Result<TcpStream, HttpError> {
     let error = |reason: String, refused| HttpError::Connect {
         address,
--- a/crates/platform/src/api.rs
+++ b/crates/objects/src/api.rs
@@ -82,7 +82,11 @@
     ) -> impl Future<Output = Result<WatchReply<T>, PlatformError>> + Send
     where
         T: DeserializeOwned + Send;
+}
 
+/// What the platform offers beside objects: its list of VMs and the weight
+/// store.
+pub trait FleetApi: ObjectApi {
     /// Takes a turn at the weight store for `bytes` bytes of `subject`.
     ///
     /// # Errors
--- a/crates/platform/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -18,6 +18,7 @@
 use serde_json::Value;
 
 use crate::ConflictReply;
+use crate::FleetApi;
 use crate::Listing;
 use crate::Object;
 use crate::ObjectApi;
@@ -191,7 +192,9 @@
         let call = Call::get(self.address, path);
         self.call(call, wait + self.limit).await
     }
+}
 
+impl FleetApi for HttpObjectApi {
     async fn take_weights(&self, subject: &str, bytes: u64) -> Result<(), PlatformError> {
         let call = Call::post(self.address, format!("/v1/weights/{subject}"));
         self.call(call.json(&WeightCall { bytes }), self.limit)
--- a/crates/platform/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -9,6 +9,7 @@
 mod http;
 mod object;
 
+pub use api::FleetApi;
 pub use api::ObjectApi;
 pub use error::PlatformError;
 pub use http::HttpObjectApi;
--- /dev/null
+++ b/crates/policy/src/board.rs
@@ -0,0 +1,200 @@
+//! What runs where: this gateway's own sends, exactly, and the others' as they
+//! last told.
+//!
+//! Only gateways send work, so the sum of what they sent is the load. Each
+//! tells the others its whole list on every change; a list replaces the one
+//! before, so that a lost message costs accuracy for a moment and nothing else.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::peers::VmName;
+use crate::rendezvous;
+
+new_key_type! {
+    /// Key of one piece of work at one replica.
+    pub struct WorkKey;
+}
+
+/// Short form of a replica's id in messages.
+pub type ReplicaTag = u32;
+
+/// Returns the short form of a replica's id.
+#[must_use]
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "the low half of a hash is a hash"
+)]
+pub fn tag<I>(id: &I) -> ReplicaTag
+where
+    I: Hash + ?Sized,
+{
+    rendezvous::weight("replica", id) as u32
+}
+
+/// How far a piece of work is.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub enum Phase {
+    /// A call of a plain service.
+    Call,
+    /// Reads its part of a prompt.
+    Reads,
+    /// Writes events.
+    Writes,
+}
+
+/// One piece of work at one replica.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Work {
+    /// Where it is.
+    pub replica: ReplicaTag,
+    /// How far it is.
+    pub phase: Phase,
+    /// Time to read its part alone, in milliseconds.
+    pub read_ms: f32,
+    /// Tokens that it holds in the replica's memory.
+    pub kv_tokens: u32,
+    /// Longest pause between events that its caller accepts, in milliseconds;
+    /// nothing for work without events.
+    pub pause_ms: Option<u32>,
+    /// Milliseconds since it was sent, as of the message.
+    pub age_ms: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Placed {
+    work: Work,
+    since: Instant,
+}
+
+/// Load of one replica, summed over all gateways.
+#[derive(Debug, Clone, Default)]
+pub struct Load {
+    /// Calls, prompts and writers in flight.
+    pub requests: usize,
+    /// Time to read what waits there, in milliseconds.
+    pub backlog_ms: f64,
+    /// Prompts that are being read or wait for it.
+    pub reading: usize,
+    /// Longest acceptable pause of each writer, and of each reader that will
+    /// write, in milliseconds.
+    pub pauses_ms: Vec<u32>,
+    /// Tokens held in memory.
+    pub kv_tokens: u64,
+}
+
+/// All work in flight.
+#[derive(Debug, Default)]
+pub struct Board {
+    own: SlotMap<WorkKey, Placed>,
+    others: BTreeMap<VmName, Vec<Placed>>,
+}
+
+impl Board {
+    /// Notes work that is sent now.
+    pub fn sent(&mut self, work: Work, now: Instant) -> WorkKey {
+        self.own.insert(Placed { work, since: now })
+    }
+
+    /// The prompt was read: its first event came.
+    pub fn writes(&mut self, key: WorkKey) {
+        if let Some(placed) = self.own.get_mut(key) {
+            placed.work.phase = Phase::Writes;
+        }
+    }
+
+    /// Work has ended or was given up.
+    pub fn ended(&mut self, key: WorkKey) {
+        self.own.remove(key);
+    }
+
+    /// Takes another gateway's whole list.
+    pub fn told(&mut self, vm: VmName, works: Vec<Work>, now: Instant) {
+        let placed = works.into_iter().map(|work| Placed {
+            since: now
+                .checked_sub(Duration::from_millis(u64::from(work.age_ms)))
+                .unwrap_or(now),
+            work,
+        });
+        self.others.insert(vm, placed.collect());
+    }
+
+    /// Keeps only the lists of gateways for which `up` holds, and returns the
+    /// other gateways.
+    pub fn retain_peers<F>(&mut self, up: F) -> Vec<VmName>
+    where
+        F: Fn(&VmName) -> bool,
+    {
+        let gone = self.others.keys().filter(|vm| !up(vm));
+        let gone = gone.cloned().collect::<Vec<_>>();
+        for vm in &gone {
+            self.others.remove(vm);
+        }
+        gone
+    }
+
+    /// Returns this gateway's list, to tell the others.
+    #[must_use]
+    pub fn own(&self, now: Instant) -> Vec<Work> {
+        let aged = self.own.values().map(|placed| Work {
+            age_ms: millis(now.saturating_duration_since(placed.since)),
+            ..placed.work
+        });
+        aged.collect()
+    }
+
+    /// Returns the count of this gateway's own work.
+    #[must_use]
+    pub fn own_count(&self) -> usize {
+        self.own.len()
+    }
+
+    /// Returns the load of every replica that has any.
+    #[must_use]
+    pub fn loads(&self, now: Instant) -> HashMap<ReplicaTag, Load> {
+        let mut by_replica = HashMap::<ReplicaTag, Vec<&Placed>>::new();
+        for placed in self.own.values().chain(self.others.values().flatten()) {
+            let at = by_replica.entry(placed.work.replica).or_default();
+            at.push(placed);
+        }
+        let loads = by_replica
+            .into_iter()
+            .map(|(replica, placed)| (replica, load(placed, now)));
+        loads.collect()
+    }
+}
+
+fn load(mut placed: Vec<&Placed>, now: Instant) -> Load {
+    placed.sort_by_key(|placed| placed.since);
+    let mut load = Load::default();
+    // Prompts are read in the order of their arrival.
+    let mut free_at = 0.0_f64;
+    let origin = placed.first().map_or(now, |first| first.since);
+    for placed in placed {
+        let work = placed.work;
+        load.requests += usize::from(work.kv_tokens > 0 || work.phase == Phase::Call);
+        load.kv_tokens += u64::from(work.kv_tokens);
+        load.pauses_ms.extend(work.pause_ms);
+        if work.phase == Phase::Reads {
+            let arrived = placed.since.saturating_duration_since(origin);
+            let starts = free_at.max(arrived.as_secs_f64() * 1_000.0);
+            free_at = starts + f64::from(work.read_ms);
+            load.reading += 1;
+        }
+    }
+    let elapsed = now.saturating_duration_since(origin).as_secs_f64() * 1_000.0;
+    load.backlog_ms = (free_at - elapsed).max(0.0);
+    load
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,15 +6,23 @@
 //! In the larger modules, commands (which change state) and queries (which read
 //! it) stand in files of their own.
 
+pub mod board;
 pub mod book;
 pub mod claims;
 pub mod duty;
+pub mod engine;
 pub mod fleet;
 pub mod gang;
+pub mod health;
 pub mod holding;
 pub mod limits;
 pub mod members;
+pub mod peers;
+pub mod placement;
 pub mod rendezvous;
+pub mod replicas;
 pub mod retry;
+pub mod routes;
 pub mod sharer;
 pub mod suspects;
+pub mod window_budget;
--- /dev/null
+++ b/crates/policy/src/routes.rs
@@ -0,0 +1,114 @@
+//! The configuration in force, indexed for the request path.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use briarhall_types::ClientLimits;
+use briarhall_types::Configuration;
+use briarhall_types::ConfigurationVersion;
+use briarhall_types::EngineSpec;
+use briarhall_types::Organisation;
+use briarhall_types::Route;
+use briarhall_types::ServiceName;
+use compact_str::CompactString;
+
+/// Finds routes and organisations; built once for each version.
+#[derive(Debug, Clone)]
+pub struct RouteTable {
+    version: ConfigurationVersion,
+    limits: ClientLimits,
+    by_host: HashMap<CompactString, Vec<Arc<Route>>>,
+    by_key: HashMap<CompactString, Arc<Organisation>>,
+    engines: HashMap<ServiceName, Arc<EngineSpec>>,
+    keys_needed: bool,
+}
+
+impl RouteTable {
+    /// Indexes a configuration.
+    #[must_use]
+    pub fn new(configuration: Configuration) -> Self {
+        let mut by_host = HashMap::<CompactString, Vec<Arc<Route>>>::new();
+        for route in configuration.routes {
+            let host = CompactString::from(route.host.to_ascii_lowercase());
+            by_host.entry(host).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| usize::MAX - route.path_prefix.len());
+        }
+        let keys_needed = !configuration.organisations.is_empty();
+        let mut by_key = HashMap::new();
+        for organisation in configuration.organisations {
+            let organisation = Arc::new(organisation);
+            for key in &organisation.keys {
+                by_key.insert(key.clone(), Arc::clone(&organisation));
+            }
+        }
+        let engines = configuration.services.into_iter();
+        let engines = engines.filter_map(|s| Some((s.name, Arc::new(s.engine?))));
+        Self {
+            version: configuration.version,
+            limits: configuration.limits,
+            by_host,
+            by_key,
+            engines: engines.collect(),
+            keys_needed,
+        }
+    }
+
+    /// Returns the operator's version.
+    #[must_use]
+    pub fn version(&self) -> ConfigurationVersion {
+        self.version
+    }
+
+    /// Returns the bounds on what clients send.
+    #[must_use]
+    pub fn limits(&self) -> ClientLimits {
+        self.limits
+    }
+
+    /// Returns the route with the longest prefix that begins `path`.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let routes = self.by_host.get(name.to_ascii_lowercase().as_str())?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(route.path_prefix.as_str()))
+    }
+
+    /// Returns whether requests need a key unless their route says otherwise.
+    #[must_use]
+    pub fn keys_needed(&self) -> bool {
+        self.keys_needed
+    }
+
+    /// Returns the organisation that a key stands for.
+    #[must_use]
+    pub fn organisation(&self, key: &str) -> Option<&Arc<Organisation>> {
+        self.by_key.get(key)
+    }
+
+    /// Returns the speed of a service's engines; nothing for a plain service.
+    #[must_use]
+    pub fn engine(&self, service: &str) -> Option<&Arc<EngineSpec>> {
+        self.engines.get(service)
+    }
+}
+
+/// Chooses a route's service by weight, with a `draw` from 0 to 1.
+#[must_use]
+pub fn target(route: &Route, draw: f64) -> Option<&ServiceName> {
+    let total = route.targets.iter().map(|t| t.weight).sum::<f64>();
+    let mut left = draw * total;
+    let weighted = route.targets.iter().filter(|target| target.weight > 0.0);
+    let mut last = None;
+    for target in weighted {
+        last = Some(&target.service);
+        left -= target.weight;
+        if left < 0.0 {
+            return last;
+        }
+    }
+    last
+}
--- a/crates/router/src/control/tasks/chains.rs
+++ b/crates/router/src/control/tasks/chains.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use briarhall_platform::ObjectApi;
-use briarhall_platform::PlatformError;
-use briarhall_platform::Precondition;
+use briarhall_objects::FleetApi;
+use briarhall_objects::PlatformError;
+use briarhall_objects::Precondition;
 use briarhall_policy::claims::Segment;
 use briarhall_policy::claims::SegmentNumber;
 use briarhall_policy::claims::Step;
@@ -26,7 +26,7 @@
 
 impl<P> TaskContext<P>
 where
-    P: ObjectApi,
+    P: FleetApi,
 {
     /// Works on a chain until it has nothing to do.
     pub(super) async fn drive_chain(self, range: u64) {
--- a/crates/router/src/control/tasks/config.rs
+++ b/crates/router/src/control/tasks/config.rs
@@ -5,10 +5,10 @@
 use std::time::Instant;
 
 use async_io::Timer;
-use briarhall_platform::Change;
-use briarhall_platform::ObjectApi;
-use briarhall_platform::PlatformError;
-use briarhall_platform::Precondition;
+use briarhall_objects::Change;
+use briarhall_objects::FleetApi;
+use briarhall_objects::PlatformError;
+use briarhall_objects::Precondition;
 use briarhall_policy::book::ConfigValue;
 use briarhall_policy::book::Entry;
 use briarhall_policy::book::ROSTER;
@@ -29,7 +29,7 @@
 
 impl<P> TaskContext<P>
 where
-    P: ObjectApi,
+    P: FleetApi,
 {
     pub(super) async fn watch_config(self) {
         let mut since = None;
--- a/crates/router/src/control/tasks/endpoints.rs
+++ b/crates/router/src/control/tasks/endpoints.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use briarhall_platform::ObjectApi;
+use briarhall_objects::FleetApi;
 use briarhall_types::EndpointName;
 use futures::future::join_all;
 
@@ -17,7 +17,7 @@
 
 impl<P> TaskContext<P>
 where
-    P: ObjectApi,
+    P: FleetApi,
 {
     pub(super) async fn list_vms(self) {
         loop {
--- a/crates/router/src/control/tasks/gossip.rs
+++ b/crates/router/src/control/tasks/gossip.rs
@@ -6,7 +6,7 @@
 use async_io::Timer;
 use briarhall_mesh::MeshPeer;
 use briarhall_mesh::ShareReply;
-use briarhall_platform::ObjectApi;
+use briarhall_objects::FleetApi;
 use briarhall_policy::sharer::REPORT_LIMIT;
 use futures::future::join_all;
 
@@ -21,7 +21,7 @@
 
 impl<P> TaskContext<P>
 where
-    P: ObjectApi,
+    P: FleetApi,
 {
     pub(super) async fn gossip(self) {
         loop {
--- a/crates/router/src/control/tasks/mod.rs
+++ b/crates/router/src/control/tasks/mod.rs
@@ -12,7 +12,7 @@
 use async_io::Timer;
 use briarhall_endpoint::EngineClient;
 use briarhall_net::Executor;
-use briarhall_platform::ObjectApi;
+use briarhall_objects::FleetApi;
 
 use super::ControlHandle;
 use super::Kick;
@@ -41,7 +41,7 @@
 
 impl<P> TaskContext<P>
 where
-    P: ObjectApi,
+    P: FleetApi,
 {
     /// Starts every task.
     pub fn start(&self, kicks: Receiver<Kick>) {
--- a/crates/router/src/operator/apply.rs
+++ b/crates/router/src/operator/apply.rs
@@ -6,9 +6,9 @@
 
 use briarhall_net::Body;
 use briarhall_net::json;
-use briarhall_platform::ObjectApi;
-use briarhall_platform::PlatformError;
-use briarhall_platform::Precondition;
+use briarhall_objects::ObjectApi;
+use briarhall_objects::PlatformError;
+use briarhall_objects::Precondition;
 use briarhall_policy::book::CONTRACT_PREFIX;
 use briarhall_policy::book::ConfigValue;
 use briarhall_policy::book::ContractRecord;
--- a/crates/router/src/operator/audit.rs
+++ b/crates/router/src/operator/audit.rs
@@ -5,8 +5,8 @@
 
 use briarhall_net::Body;
 use briarhall_net::json;
-use briarhall_platform::ObjectApi;
-use briarhall_platform::Precondition;
+use briarhall_objects::ObjectApi;
+use briarhall_objects::Precondition;
 use briarhall_types::CustomerName;
 use briarhall_types::Problem;
 use briarhall_types::Revision;
--- a/crates/router/src/operator/mod.rs
+++ b/crates/router/src/operator/mod.rs
@@ -11,7 +11,7 @@
 use briarhall_net::json;
 use briarhall_net::problem;
 use briarhall_net::status;
-use briarhall_platform::ObjectApi;
+use briarhall_objects::ObjectApi;
 use briarhall_settings::OperatorKey;
 use briarhall_types::Contract;
 use briarhall_types::Problem;
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -21,6 +21,7 @@
 use briarhall_mesh::serve_mesh;
 use briarhall_net::Executor;
 use briarhall_net::HttpClient;
+use briarhall_net::LogTarget;
 use briarhall_net::Logging;
 use briarhall_net::Metrics;
 use briarhall_net::ServerOptions;
@@ -28,7 +29,7 @@
 use briarhall_net::TimerRuntime;
 use briarhall_net::bind;
 use briarhall_net::serve;
-use briarhall_platform::HttpObjectApi;
+use briarhall_objects::HttpObjectApi;
 use briarhall_settings::RouterSettings;
 use futures_lite::StreamExt;
 use futures_lite::future;
@@ -83,7 +84,7 @@
 ///
 /// Returns an error when it cannot start.
 pub fn run(settings: &RouterSettings) -> Result<(), StartError> {
-    let _logging = Logging::start(&settings.log)?;
+    let _logging = Logging::start(&settings.log, LogTarget::Stderr)?;
     let metrics = Metrics::start("briarhall.router", settings.metrics_address)?;
     let timers = TimerRuntime::start()?;
     let listeners = Listeners::open(settings)?;
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use briarhall_platform::Change;
-use briarhall_platform::Listing;
-use briarhall_platform::Object;
+use briarhall_objects::Change;
+use briarhall_objects::Listing;
+use briarhall_objects::Object;
 use serde_json::Value;
 
 const MAX_HISTORY: usize = 100_000;
--- a/crates/standins/src/platform/vms.rs
+++ b/crates/standins/src/platform/vms.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use briarhall_platform::VmListing;
+use briarhall_objects::VmListing;
 use briarhall_types::EndpointName;
 use briarhall_types::EndpointRecord;
 
--- a/crates/steward/src/duties.rs
+++ b/crates/steward/src/duties.rs
@@ -12,9 +12,9 @@
 use briarhall_endpoint::EngineClient;
 use briarhall_net::Executor;
 use briarhall_net::Metrics;
-use briarhall_platform::ObjectApi;
-use briarhall_platform::PlatformError;
-use briarhall_platform::Precondition;
+use briarhall_objects::FleetApi;
+use briarhall_objects::PlatformError;
+use briarhall_objects::Precondition;
 use briarhall_policy::duty::Duty;
 use briarhall_policy::duty::Lease;
 use briarhall_policy::duty::Move;
@@ -50,7 +50,7 @@
 
 impl<P> Steward<P>
 where
-    P: ObjectApi,
+    P: FleetApi,
 {
     /// Creates a steward that holds nothing yet.
     #[must_use]
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -17,10 +17,11 @@
 use briarhall_endpoint::EngineClient;
 use briarhall_net::Executor;
 use briarhall_net::HttpClient;
+use briarhall_net::LogTarget;
 use briarhall_net::Logging;
 use briarhall_net::Metrics;
 use briarhall_net::TimerRuntime;
-use briarhall_platform::HttpObjectApi;
+use briarhall_objects::HttpObjectApi;
 use briarhall_settings::Invocation;
 use briarhall_settings::StewardSettings;
 use briarhall_settings::read_steward_settings;
@@ -63,7 +64,7 @@
     let Some(settings) = invocation.checked(read_steward_settings)? else {
         return Ok(());
     };
-    let _logging = Logging::start(&settings.log)?;
+    let _logging = Logging::start(&settings.log, LogTarget::Stderr)?;
     let metrics = Metrics::start("briarhall.steward", settings.metrics_address)?;
     let timers = TimerRuntime::start()?;
     let executor = Executor::default();
--- a/crates/steward/src/orders.rs
+++ b/crates/steward/src/orders.rs
@@ -8,8 +8,8 @@
 
 use async_io::Timer;
 use briarhall_endpoint::wire::Order;
-use briarhall_platform::ObjectApi;
-use briarhall_platform::PlatformError;
+use briarhall_objects::FleetApi;
+use briarhall_objects::PlatformError;
 use briarhall_policy::duty::ORDER_LIMIT;
 use briarhall_types::EndpointName;
 use briarhall_types::EndpointRecord;
@@ -48,7 +48,7 @@
 
 impl<P> Steward<P>
 where
-    P: ObjectApi,
+    P: FleetApi,
 {
     /// Gives orders whenever what should be loaded has changed, for ever.
     pub async fn carry_out_orders(self: Arc<Self>) {
--- a/crates/steward/src/sweep.rs
+++ b/crates/steward/src/sweep.rs
@@ -5,7 +5,7 @@
 
 use async_io::Timer;
 use briarhall_endpoint::wire::Holding;
-use briarhall_platform::ObjectApi;
+use briarhall_objects::FleetApi;
 use briarhall_policy::duty::ORDER_LIMIT;
 use briarhall_types::EndpointKind;
 use briarhall_types::EndpointRecord;
@@ -15,7 +15,7 @@
 
 impl<P> Steward<P>
 where
-    P: ObjectApi,
+    P: FleetApi,
 {
     /// Looks through the engines of this steward's duties, for ever.
     pub async fn sweep_engines(self: Arc<Self>) {
--- /dev/null
+++ b/crates/types/src/configuration.rs
@@ -0,0 +1,149 @@
+//! The configuration that operators give a gateway: routes, services,
+//! organisations and limits on what clients may send.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::CustomerName;
+use crate::ServiceName;
+
+/// Name of a route, unique within a configuration.
+pub type RouteName = CompactString;
+/// Version that the operator gave a configuration.
+pub type ConfigurationVersion = u64;
+
+/// One version of the whole configuration.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Configuration {
+    /// The operator's version; grows, with gaps.
+    pub version: ConfigurationVersion,
+    /// Where requests go.
+    pub routes: Vec<Route>,
+    /// What the routes' services need.
+    pub services: Vec<ServiceSpec>,
+    /// Who may send requests; empty when requests need no key.
+    pub organisations: Vec<Organisation>,
+    /// What clients may send.
+    pub limits: ClientLimits,
+}
+
+/// Sends the requests of a host and path prefix to a service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// Name, for logs.
+    pub name: RouteName,
+    /// Host that the request names, without a port.
+    pub host: CompactString,
+    /// Prefix of the path; begins and ends with a slash.
+    pub path_prefix: CompactString,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time that a request is kept waiting.
+    pub timeout: Option<Duration>,
+    /// Time to the answer, or to the first event, that callers hope for.
+    pub objective: Option<Duration>,
+    /// Longest pause between two events that callers find acceptable.
+    pub pause_objective: Option<Duration>,
+    /// Rank, 0 first.
+    pub priority: u32,
+    /// Services that share the requests.
+    pub targets: Vec<Target>,
+    /// Replicas to which one request may be sent at the most.
+    pub max_attempts: u32,
+    /// Whether requests need no key.
+    pub anonymous: bool,
+    /// Whether a broken stream may go on at another replica.
+    pub resumable: bool,
+}
+
+/// What a route's requests are, which says what may be repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RouteKind {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once.
+    NonIdempotent,
+    /// A stream of events; runs at most once unless it may be resumed.
+    Streaming,
+}
+
+/// Part of a route's requests.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Target {
+    /// Service that gets them.
+    pub service: ServiceName,
+    /// Its share, relative to the other targets'.
+    pub weight: f64,
+}
+
+/// What is known of a service beside its replicas.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServiceSpec {
+    /// Name.
+    pub name: ServiceName,
+    /// Speed of its engines; nothing for a plain service.
+    pub engine: Option<EngineSpec>,
+}
+
+/// Speed and memory of a model engine, as its operator measured it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EngineSpec {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Tokens that its KV memory holds.
+    pub kv_tokens: u64,
+    /// Steps in a pass that has writers.
+    pub stride: u32,
+    /// Duration of a step, in milliseconds.
+    pub step_ms: f64,
+    /// Added to a step for each writer, in milliseconds.
+    pub per_writer_ms: f64,
+    /// Added to a step for each 1,000 tokens of a writer's context, in
+    /// milliseconds.
+    pub context_per_k_ms: f64,
+    /// Prompt tokens read in a millisecond.
+    pub read_per_ms: f64,
+    /// Added to reading for each million pairs of a token and an earlier one,
+    /// in milliseconds.
+    pub pairs_per_m_ms: f64,
+    /// Prompt tokens read in a step at the most.
+    pub chunk: u32,
+}
+
+/// A customer's organisation and the keys that stand for it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Organisation {
+    /// Name.
+    pub name: CustomerName,
+    /// Keys that its clients present.
+    pub keys: Vec<CompactString>,
+    /// Rank of its requests, before the route's.
+    pub priority: Option<u32>,
+}
+
+/// Bounds on what a client may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClientLimits {
+    /// Bytes of a request's head.
+    pub max_header_bytes: usize,
+    /// Bytes of a request's body.
+    pub max_body_bytes: usize,
+    /// Time for a request's head to arrive, from its first byte.
+    pub header_timeout: Duration,
+    /// Time for which a connection may be idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16 * 1024,
+            max_body_bytes: 4 * 1024 * 1024,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does input or output, so the decision code and the programs
 //! can agree on words without agreeing on transports.
 
+mod configuration;
 mod contract;
 mod durations;
 mod endpoint;
@@ -10,8 +11,19 @@
 mod key;
 mod outcome;
 mod problem;
+mod replica;
 mod tokens;
 
+pub use configuration::ClientLimits;
+pub use configuration::Configuration;
+pub use configuration::ConfigurationVersion;
+pub use configuration::EngineSpec;
+pub use configuration::Organisation;
+pub use configuration::Route;
+pub use configuration::RouteKind;
+pub use configuration::RouteName;
+pub use configuration::ServiceSpec;
+pub use configuration::Target;
 pub use contract::CallLimits;
 pub use contract::Contract;
 pub use contract::ContractProblem;
@@ -40,6 +52,10 @@
 pub use key::KeyDigestError;
 pub use outcome::Outcome;
 pub use problem::Problem;
+pub use replica::ReplicaChange;
+pub use replica::ReplicaEntry;
+pub use replica::ReplicaId;
+pub use replica::ReplicaRecord;
 pub use tokens::BYTES_PER_TOKEN;
 pub use tokens::LengthClass;
 pub use tokens::estimate_tokens;
--- /dev/null
+++ b/crates/types/src/replica.rs
@@ -0,0 +1,56 @@
+//! Replicas of services as a service registry lists them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Revision;
+use crate::ServiceName;
+use crate::ZoneName;
+
+/// Id of a replica; it may start again under the same one.
+pub type ReplicaId = CompactString;
+
+/// One replica as it registered itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaRecord {
+    /// Its id.
+    pub id: ReplicaId,
+    /// What it serves.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub zone: ZoneName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub leaving: bool,
+    /// How much longer it is slow after its start.
+    pub warm_in: Duration,
+    /// Start of its process in Unix milliseconds, where it tells.
+    pub started_unix_ms: Option<u64>,
+}
+
+/// What the registry holds under one id.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaEntry {
+    /// Id that the entry is kept under.
+    pub id: ReplicaId,
+    /// Revision of its last change.
+    pub revision: Revision,
+    /// The replica; nothing when the entry names no usable one.
+    pub record: Option<ReplicaRecord>,
+}
+
+/// A change of the registry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaChange {
+    /// The entry after the change.
+    pub entry: ReplicaEntry,
+    /// Whether it was removed.
+    pub removed: bool,
+}
