Long prompts wait in one line, medium ones are shared at once, the largest get reservations

Engines read a part for another replica before their own reads, so gangs that overlap on an engine overtake each other and all end late. Prompts larger than one engine were refused.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use async_io::Timer;
 use briarhall_net::Body;
 use briarhall_net::Exchange;
+use briarhall_net::Executor;
 use briarhall_net::HttpClient;
 use briarhall_net::HttpError;
 use briarhall_net::Phase as HowFar;
@@ -15,9 +16,12 @@
 use briarhall_policy::board::Phase;
 use briarhall_policy::board::Work;
 use briarhall_policy::board::tag;
+use briarhall_policy::engine;
 use briarhall_policy::health::Outcome;
+use briarhall_policy::line::Waiter;
 use briarhall_policy::placement;
 use briarhall_policy::placement::Candidate;
+use briarhall_policy::placement::Length;
 use briarhall_policy::placement::NoPlace;
 use briarhall_policy::placement::Plan;
 use briarhall_policy::rendezvous;
@@ -29,6 +33,8 @@
 use crate::answer::COME_BACK;
 use crate::answer::GiveUp;
 use crate::job::Job;
+use crate::reservation::Reservation;
+use crate::state::InLine;
 use crate::state::Placed;
 use crate::state::Shared;
 use crate::state::State;
@@ -42,10 +48,12 @@
 /// zones takes, and less than a repeated SYN.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Time between two looks for a free place.
-const LOOK_AGAIN: Duration = Duration::from_millis(15);
+const LOOK_AGAIN: Duration = Duration::from_millis(8);
 /// Part of a request's time for which it waits for a place; after that it is
 /// better off with another gateway, or later.
 const PATIENCE: f64 = 0.3;
+/// The same for a long prompt, whose place in line would be lost.
+const LONG_PATIENCE: f64 = 0.6;
 /// Sends that were turned away, not run, before the client is told.
 const MOST_REFUSALS: u32 = 4;
 
@@ -61,14 +69,36 @@
 }
 
 impl Sends {
+    /// Returns whether the job may be sent once more after a send that was
+    /// turned away (`ran` false) or may have run.
+    #[must_use]
+    pub fn allow_another(&self, job: &Job, ran: bool) -> bool {
+        let allowed = self.may_have_run < job.route.max_attempts.max(1);
+        let safe = !ran || job.repeatable();
+        allowed && safe && self.refused < MOST_REFUSALS && !job.left().is_zero()
+    }
+
     fn any(&self) -> bool {
         self.may_have_run + self.refused > 0
     }
+
+    fn last_word(&self) -> GiveUp {
+        if self.may_have_run > 0 {
+            GiveUp::AnswerLost
+        } else {
+            GiveUp::NotRun {
+                retry_after: COME_BACK,
+            }
+        }
+    }
 }
 
 /// A send with a place on the board.
 #[derive(Debug)]
-pub struct Place {
+pub struct Place<W>
+where
+    W: Wire,
+{
     /// Where it goes.
     pub replica: ReplicaRecord,
     /// Other replicas that read a part.
@@ -77,6 +107,9 @@
     pub predicted_ms: f64,
     /// Keeps it on the board.
     pub placed: Placed,
+    /// Tokens that each helper holds.
+    held_tokens: u64,
+    reservation: Option<Reservation<W>>,
 }
 
 /// What came of a send.
@@ -97,6 +130,8 @@
     pub wire: W,
     /// Opens connections.
     pub client: HttpClient,
+    /// Runs what outlives a request.
+    pub executor: Executor,
     /// Control state.
     pub shared: Arc<Shared>,
 }
@@ -110,15 +145,23 @@
     /// # Errors
     ///
     /// Returns the answer for the client when there is none in time.
-    pub async fn place(&self, job: &Job, sends: &Sends, written: u64) -> Result<Place, GiveUp> {
-        let patience = job.whole().mul_f64(PATIENCE);
-        let until = (Instant::now() + patience).min(job.ends);
+    pub async fn place(&self, job: &Job, sends: &Sends, written: u64) -> Result<Place<W>, GiveUp> {
         if sends.any() && !self.may_repeat(job) {
-            return Err(self.out_of_sends(sends));
+            return Err(sends.last_word());
         }
+        let in_line = self.join_line(job, written);
+        let patience = if in_line.is_some() {
+            LONG_PATIENCE
+        } else {
+            PATIENCE
+        };
+        let until = (job.arrived + job.whole().mul_f64(patience)).min(job.ends);
         loop {
-            let reason = match self.try_place(job, sends, written) {
-                Ok(place) => return Ok(place),
+            let reason = match self.try_place(job, sends, written, in_line.as_ref()) {
+                Ok(place) => match self.reserve(job, place).await {
+                    Some(place) => return Ok(place),
+                    None => NoPlace::Full,
+                },
                 Err(reason) => reason,
             };
             if reason == NoPlace::TooLarge || Instant::now() + LOOK_AGAIN >= until {
@@ -130,20 +173,31 @@
                     waited_ms = elapsed_ms(job.arrived);
                     "no place"
                 );
-                return Err(self.out_of_sends(sends));
+                return Err(sends.last_word());
             }
             Timer::after(LOOK_AGAIN).await;
         }
     }
 
-    fn out_of_sends(&self, sends: &Sends) -> GiveUp {
-        if sends.may_have_run > 0 {
-            GiveUp::AnswerLost
-        } else {
-            GiveUp::NotRun {
-                retry_after: COME_BACK,
-            }
+    /// Puts a long prompt in line.
+    fn join_line(&self, job: &Job, written: u64) -> Option<InLine> {
+        let spec = job.engine.as_ref()?;
+        let prompt = job.prompt(written);
+        if placement::length(spec, &prompt) != Length::Long {
+            return None;
         }
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "times in milliseconds need no more digits"
+        )]
+        let waiter = Waiter {
+            id: rendezvous::weight("request", job.head.id.as_str()),
+            service: tag(job.service.as_str()),
+            priority: job.rank(),
+            slack_ms: job.slack_ms(spec, &prompt) as f32,
+            read_ms: engine::read_ms(spec, prompt.tokens, 1) as f32,
+        };
+        Some(InLine::new(&self.shared, waiter))
     }
 
     fn may_repeat(&self, job: &Job) -> bool {
@@ -164,13 +218,29 @@
         may
     }
 
-    fn try_place(&self, job: &Job, sends: &Sends, written: u64) -> Result<Place, NoPlace> {
+    fn try_place(
+        &self,
+        job: &Job,
+        sends: &Sends,
+        written: u64,
+        in_line: Option<&InLine>,
+    ) -> Result<Place<W>, NoPlace> {
         let now = Instant::now();
         let mut state = self.shared.state();
+        if in_line.is_some_and(|in_line| !in_line.is_first(&state, now)) {
+            return Err(NoPlace::Full);
+        }
         let candidates = candidates(&state, job, sends, &self.shared.settings.zone, now);
         let (plan, phase, kv_tokens) = if let Some(spec) = &job.engine {
             let prompt = job.prompt(written);
-            let plan = placement::prompt(spec, &prompt, &candidates)?;
+            let plan = match placement::length(spec, &prompt) {
+                Length::Short => placement::short(spec, &prompt, &candidates)?,
+                Length::Medium => placement::medium(spec, &prompt, &candidates)?,
+                Length::Long => {
+                    let slack = job.slack_ms(spec, &prompt);
+                    placement::long(spec, &prompt, slack, &candidates)?
+                }
+            };
             (plan, Phase::Reads, prompt.tokens + prompt.max_output)
         } else {
             let first = placement::call(&candidates)?;
@@ -178,6 +248,7 @@
                 first,
                 helpers: Vec::new(),
                 part_ms: 0.0,
+                part_tokens: 0,
                 predicted_ms: 0.0,
             };
             (plan, Phase::Call, 0)
@@ -186,7 +257,7 @@
         let replica = record(&plan.first).ok_or(NoPlace::NoReplica)?;
         let helpers = plan.helpers.iter().filter_map(record);
         let helpers = helpers.collect::<Vec<_>>();
-        let pause = job.engine.as_ref().and(job.route.pause_objective);
+        let pause = job.engine.as_ref().map(|_| job.pause());
         let work = |id: &ReplicaId| Work {
             replica: tag(id.as_str()),
             phase,
@@ -195,7 +266,7 @@
                 reason = "a time in milliseconds needs no more digits"
             )]
             read_ms: plan.part_ms as f32,
-            kv_tokens: 0,
+            kv_tokens: u32::try_from(plan.part_tokens).unwrap_or(u32::MAX),
             pause_ms: None,
             age_ms: 0,
         };
@@ -207,12 +278,14 @@
         let parts = helpers.iter().map(|h| work(&h.id)).collect::<Vec<_>>();
         let placed = Placed::new(&self.shared, &mut state, first, &parts);
         drop(state);
+        let names = helpers.iter().map(|h| h.id.as_str()).collect::<Vec<_>>();
+        let names = names.join(",");
         log::info!(
             event = "placed",
             request = job.head.id.as_str(),
             route = job.route.name.as_str(),
             replica = replica.id.as_str(),
-            helpers = helpers.len(),
+            helpers = names.as_str(),
             tokens = job.head.prompt_tokens.unwrap_or(0),
             part_ms = plan.part_ms,
             predicted_ms = plan.predicted_ms,
@@ -228,15 +301,34 @@
             replica,
             predicted_ms: plan.predicted_ms,
             placed,
+            held_tokens: plan.part_tokens,
+            reservation: None,
         })
     }
 
+    /// Sets memory aside at the helpers of a place, where the plan needs it.
+    /// Returns nothing when they do not grant it.
+    async fn reserve(&self, job: &Job, mut place: Place<W>) -> Option<Place<W>> {
+        if place.held_tokens > 0 {
+            let reservation = Reservation::take(
+                self.wire.clone(),
+                self.client.clone(),
+                self.executor.clone(),
+                &mut place.helpers,
+                place.held_tokens,
+                &job.head.id,
+            );
+            place.reservation = Some(reservation.await?);
+        }
+        Some(place)
+    }
+
     /// Sends the job to its place and waits for the head of the answer, no
     /// longer than `limit`.
     pub async fn send(
         &self,
         job: &Job,
-        place: &Place,
+        place: &Place<W>,
         resume_after: Option<&str>,
         limit: Duration,
         sends: &mut Sends,
@@ -323,15 +415,7 @@
         }
     }
 
-    /// Returns whether the job may be sent once more after a send that was
-    /// turned away (`ran` false) or may have run.
-    pub fn may_send_again(&self, job: &Job, sends: &Sends, ran: bool) -> bool {
-        let allowed = sends.may_have_run < job.route.max_attempts.max(1);
-        let safe = !ran || job.repeatable();
-        allowed && safe && sends.refused < MOST_REFUSALS && !job.left().is_zero()
-    }
-
-    fn request(&self, job: &Job, place: &Place, resume_after: Option<&str>) -> Request<Body> {
+    fn request(&self, job: &Job, place: &Place<W>, resume_after: Option<&str>) -> Request<Body> {
         let outgoing = Outgoing {
             deadline: job.head.deadline.map(|_| job.left()),
             replica: &place.replica.id,
--- a/crates/gateway/src/client_request.rs
+++ b/crates/gateway/src/client_request.rs
@@ -6,7 +6,6 @@
 
 use briarhall_net::Body;
 use briarhall_net::BodyTooLarge;
-use briarhall_net::Executor;
 use briarhall_net::Handler;
 use briarhall_net::read_limited;
 use briarhall_net::timeout;
@@ -42,8 +41,6 @@
 pub struct ClientRequests<W> {
     /// Places and sends.
     pub sender: Sender<W>,
-    /// Runs the rest of streams.
-    pub executor: Executor,
 }
 
 /// What the configuration says of a request.
@@ -126,7 +123,7 @@
             _in_flight: in_flight,
         };
         if job.route.kind == RouteKind::Streaming {
-            stream::serve(&self.sender, &self.executor, job).await
+            stream::serve(&self.sender, job).await
         } else {
             plain::serve(&self.sender, &job).await
         }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -12,6 +12,7 @@
 use async_io::Timer;
 use async_net::UdpSocket;
 use briarhall_policy::board::Work;
+use briarhall_policy::line::Waiter;
 use briarhall_policy::peers::DOWN_AFTER;
 use briarhall_policy::peers::HEARTBEAT;
 use briarhall_policy::peers::Heard;
@@ -34,6 +35,7 @@
 struct Heartbeat {
     presence: Presence,
     works: Vec<Work>,
+    waiters: Vec<Waiter>,
     /// Gateways that the sender knows of.
     known: Vec<SocketAddr>,
 }
@@ -69,6 +71,7 @@
     let mut heartbeat = Heartbeat {
         presence: shared.presence(&mut state),
         works: state.board.own(now),
+        waiters: state.line.own(now),
         known,
     };
     drop(state);
@@ -118,6 +121,7 @@
     let Heartbeat {
         presence,
         works,
+        waiters,
         known,
     } = heartbeat;
     if presence.vm == shared.settings.vm && presence.incarnation == shared.incarnation {
@@ -134,6 +138,7 @@
         return;
     }
     state.board.told(vm.clone(), works, now);
+    state.line.told(vm.clone(), waiters, now);
     drop(state);
     if matches!(heard, Heard::Up | Heard::Changed) {
         log::info!(event = "peer", peer = vm.as_str(), ready, stopping, up = true; "peer");
@@ -152,6 +157,7 @@
         let up = state.peers.up(now).map(|p| p.vm.clone());
         let up = up.collect::<Vec<_>>();
         let gone = state.board.retain_peers(|vm| up.contains(vm));
+        state.line.retain_peers(|vm| up.contains(vm));
         drop(state);
         for vm in gone {
             log::info!(event = "peer", peer = vm.as_str(), up = false; "peer");
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use briarhall_policy::engine;
 use briarhall_policy::placement::Prompt;
 use briarhall_types::EngineSpec;
 use briarhall_types::Organisation;
@@ -23,7 +24,12 @@
 /// Acceptable pause of a route that states none.
 const DEFAULT_PAUSE: Duration = Duration::from_secs(1);
 /// Time a request may take when neither client nor route states one.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
+/// Engines that share a long prompt on a busy day: half of the most.
+const USUAL_PARTS: usize = 8;
+/// Part of an objective that a plan may use; the rest is for the steps of the
+/// first pass.
+const OBJECTIVE_USED: f64 = 0.85;
 /// Output assumed where the request states none, in tokens.
 const DEFAULT_OUTPUT: u64 = 1_000;
 
@@ -87,12 +93,34 @@
         }
     }
 
+    /// Returns the longest pause that its caller accepts.
+    #[must_use]
+    pub fn pause(&self) -> Duration {
+        self.route.pause_objective.unwrap_or(DEFAULT_PAUSE)
+    }
+
+    /// Returns its rank, the organisation's before the route's.
+    #[must_use]
+    pub fn rank(&self) -> u32 {
+        let organisation = self.organisation.as_ref().and_then(|o| o.priority);
+        organisation.unwrap_or(self.route.priority)
+    }
+
+    /// Returns the milliseconds until it must be sent to meet its objective,
+    /// when as many engines share it as usually do; negative when it is late.
+    #[must_use]
+    pub fn slack_ms(&self, spec: &EngineSpec, prompt: &Prompt) -> f64 {
+        let waited = self.arrived.elapsed().as_secs_f64() * 1_000.0;
+        let read = engine::read_ms(spec, prompt.tokens, USUAL_PARTS);
+        prompt.objective_ms * OBJECTIVE_USED - waited - read
+    }
+
     /// Returns what it needs of an engine, when `written` tokens of the answer
     /// are to be read again.
     #[must_use]
     pub fn prompt(&self, written: u64) -> Prompt {
         let objective = self.route.objective.unwrap_or(DEFAULT_OBJECTIVE);
-        let pause = self.route.pause_objective.unwrap_or(DEFAULT_PAUSE);
+        let pause = self.pause();
         Prompt {
             tokens: self.head.prompt_tokens.unwrap_or(0) + written,
             max_output: self.head.output_tokens.unwrap_or(DEFAULT_OUTPUT),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod plain;
 mod relay;
 mod replica_watch;
+mod reservation;
 mod settings;
 mod sse;
 mod start;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -71,7 +71,7 @@
                             Outcome::Answered
                         };
                         note_outcome(&sender.shared, id, outcome);
-                        if failed && sender.may_send_again(job, &sends, true) {
+                        if failed && sends.allow_another(job, true) {
                             true
                         } else {
                             log_end(job, id, parts.status.as_u16(), &sends);
@@ -99,7 +99,7 @@
             Sent::Lost => true,
         };
         drop(place);
-        if !sender.may_send_again(job, &sends, ran) {
+        if !sends.allow_another(job, ran) {
             return Err(last_word(job, &sends));
         }
         if !ran {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -174,7 +174,7 @@
     let mut state = shared.state();
     let events = state.replicas.relayed(relayed.entries, relayed.revision);
     state.registry_known = true;
-    shared.note_replicas(&mut state, &events, "peer");
+    state.note_replicas(&events, "peer");
     drop(state);
     shared.tell_peers();
     Ok(())
--- a/crates/gateway/src/replica_watch.rs
+++ b/crates/gateway/src/replica_watch.rs
@@ -61,7 +61,7 @@
         .replicas
         .listed(snapshot.entries, snapshot.read_at, now);
     state.registry_known = true;
-    shared.note_replicas(&mut state, &events, "store");
+    state.note_replicas(&events, "store");
     drop(state);
     shared.tell_peers();
     Ok(snapshot.read_at)
@@ -79,7 +79,7 @@
         let events = state
             .replicas
             .changed(changes.changes, changes.read_at, now);
-        shared.note_replicas(&mut state, &events, "store");
+        state.note_replicas(&events, "store");
         drop(state);
         shared.tell_peers();
     }
@@ -92,6 +92,6 @@
         Timer::after(EXPIRE_EVERY).await;
         let mut state = shared.state();
         let events = state.replicas.expire(Instant::now());
-        shared.note_replicas(&mut state, &events, "lapse");
+        state.note_replicas(&events, "lapse");
     }
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -106,16 +106,16 @@
         sender: Sender {
             wire,
             client,
+            executor: executor.clone(),
             shared: Arc::clone(&shared),
         },
-        executor: executor.clone(),
     };
     let listener = listen("front", settings.front)?;
     executor.detach(sessions.serve(listener, requests));
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Hup) => {
-                log::info!(event = "reload"; "nothing in the settings can change while running")
+                log::info!(event = "reload"; "nothing in the settings can change while running");
             }
             Ok(_) => break,
             Err(e) => return Err(StartError::Signals(e)),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,9 @@
 use briarhall_policy::board::WorkKey;
 use briarhall_policy::health::Health;
 use briarhall_policy::health::Outcome;
+use briarhall_policy::line::Line;
+use briarhall_policy::line::Waiter;
+use briarhall_policy::line::WaiterKey;
 use briarhall_policy::peers::Incarnation;
 use briarhall_policy::peers::Peers;
 use briarhall_policy::peers::Presence;
@@ -61,6 +64,8 @@
     pub health: Health,
     /// Work in flight.
     pub board: Board,
+    /// Long prompts that wait.
+    pub line: Line,
     /// Other gateways.
     pub peers: Peers,
     /// Whether this gateway is about to stop.
@@ -95,6 +100,7 @@
             registry_known: false,
             health: Health::default(),
             board: Board::default(),
+            line: Line::default(),
             peers: Peers::default(),
             stopping: false,
             in_flight: 0,
@@ -130,6 +136,17 @@
         let _set_before = self.sessions.set(sessions);
     }
 
+    /// Leaves the directory's answers, and returns how many requests are not
+    /// yet answered in full.
+    pub fn begin_stop(&self) -> usize {
+        let mut state = self.state();
+        state.stopping = true;
+        let in_flight = state.in_flight;
+        drop(state);
+        self.tell_peers();
+        in_flight
+    }
+
     /// Asks for a heartbeat soon, as something that peers need has changed.
     pub fn tell_peers(&self) {
         // A full channel means that one is about to be sent.
@@ -165,24 +182,6 @@
         self.tell_peers();
     }
 
-    /// Logs what became known of replicas, and forgets the past of those that
-    /// are gone or new.
-    pub fn note_replicas(&self, state: &mut State, events: &[Event], source: &str) {
-        for event in events {
-            if matches!(event.what, Belief::Gone | Belief::Restarted) {
-                state.health.forget(&event.id);
-            }
-            log::info!(
-                event = "replica",
-                replica = event.id.as_str(),
-                belief = event.what.as_str(),
-                revision = event.revision,
-                source;
-                "replica"
-            );
-        }
-    }
-
     /// Describes this gateway to others.
     pub fn presence(&self, state: &mut State) -> Presence {
         state.sequence += 1;
@@ -209,6 +208,24 @@
         self.in_force.is_some() && self.registry_known && !self.stopping
     }
 
+    /// Logs what became known of replicas, and forgets the past of those that
+    /// are gone or new.
+    pub fn note_replicas(&mut self, events: &[Event], source: &str) {
+        for event in events {
+            if matches!(event.what, Belief::Gone | Belief::Restarted) {
+                self.health.forget(&event.id);
+            }
+            log::info!(
+                event = "replica",
+                replica = event.id.as_str(),
+                belief = event.what.as_str(),
+                revision = event.revision,
+                source;
+                "replica"
+            );
+        }
+    }
+
     /// Returns the budget for sending requests of a service again.
     pub fn budget(&mut self, service: &ServiceName, settings: &Settings) -> &mut WindowBudget {
         let budget = self.budgets.entry(service.clone());
@@ -295,3 +312,34 @@
 pub fn note_outcome(shared: &Shared, id: &ReplicaId, outcome: Outcome) {
     shared.state().health.note(id, outcome, Instant::now());
 }
+
+/// A place in line as long as this lives.
+#[derive(Debug)]
+pub struct InLine {
+    shared: Arc<Shared>,
+    key: WaiterKey,
+}
+
+impl InLine {
+    /// Joins the line.
+    pub fn new(shared: &Arc<Shared>, waiter: Waiter) -> Self {
+        let key = shared.state().line.join(waiter, Instant::now());
+        shared.tell_peers();
+        Self {
+            shared: Arc::clone(shared),
+            key,
+        }
+    }
+
+    /// Returns whether nobody comes before this one.
+    pub fn is_first(&self, state: &State, now: Instant) -> bool {
+        state.line.ahead_of(self.key, now) == 0
+    }
+}
+
+impl Drop for InLine {
+    fn drop(&mut self) {
+        self.shared.state().line.leave(self.key);
+        self.shared.tell_peers();
+    }
+}
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -25,11 +25,7 @@
 pub async fn stop(shared: &Arc<Shared>, end_sessions: Sender<()>) {
     let began = Instant::now();
     let kill = began + shared.settings.grace.saturating_sub(BEFORE_KILL);
-    let mut state = shared.state();
-    state.stopping = true;
-    let in_flight = state.in_flight;
-    drop(state);
-    shared.tell_peers();
+    let in_flight = shared.begin_stop();
     log::info!(event = "stopping", in_flight; "stopping");
     let moved = shared.settings.address_ttl * KEPT_LONGER + MARGIN;
     Timer::at((began + moved).min(kill)).await;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,7 +12,6 @@
 use briarhall_net::Body;
 use briarhall_net::BodySender;
 use briarhall_net::Exchange;
-use briarhall_net::Executor;
 use briarhall_net::timeout;
 use briarhall_policy::health::Outcome;
 use bytes::Bytes;
@@ -51,8 +50,11 @@
 const EVENT_TOKENS: u64 = 40;
 
 /// An answer that has begun at a replica.
-struct Source {
-    place: Place,
+struct Source<W>
+where
+    W: Wire,
+{
+    place: Place<W>,
     body: Incoming,
     splitter: EventSplitter,
     _connection: briarhall_net::Connection,
@@ -71,11 +73,7 @@
 /// # Errors
 ///
 /// Returns the answer for the client when no replica began one.
-pub async fn serve<W>(
-    sender: &Sender<W>,
-    executor: &Executor,
-    job: Job,
-) -> Result<Response<Body>, GiveUp>
+pub async fn serve<W>(sender: &Sender<W>, job: Job) -> Result<Response<Body>, GiveUp>
 where
     W: Wire,
 {
@@ -96,14 +94,14 @@
                 crate::client_request::remove_connection_headers(reply.headers_mut());
                 reply.headers_mut().remove(hyper::header::CONTENT_LENGTH);
                 let sender = sender.clone();
+                let executor = sender.executor.clone();
                 executor.detach(async move {
                     Relay::new(sender, job, sends).run(*source, first, tx).await;
                 });
                 return Ok(reply);
             }
             Began::Other(parts, body) => {
-                let again =
-                    parts.status.is_server_error() && sender.may_send_again(&job, &sends, true);
+                let again = parts.status.is_server_error() && sends.allow_another(&job, true);
                 if !again {
                     log_end(&job, "passed_on", parts.status.as_u16(), 0, &sends);
                     let mut reply = Response::new(Body::whole(body));
@@ -117,7 +115,7 @@
             Began::NotRun => false,
             Began::Lost => true,
         };
-        if !sender.may_send_again(&job, &sends, ran) {
+        if !sends.allow_another(&job, ran) {
             return Err(last_word(&job, &sends));
         }
         if !ran {
@@ -127,10 +125,13 @@
 }
 
 /// How an answer began.
-enum Began {
+enum Began<W>
+where
+    W: Wire,
+{
     Events {
         parts: Box<response::Parts>,
-        source: Box<Source>,
+        source: Box<Source<W>>,
         first: Next,
     },
     /// An answer that is no stream of events, whole.
@@ -142,10 +143,10 @@
 async fn begin<W>(
     sender: &Sender<W>,
     job: &Job,
-    place: Place,
+    place: Place<W>,
     resume_after: Option<&str>,
     sends: &mut Sends,
-) -> Began
+) -> Began<W>
 where
     W: Wire,
 {
@@ -197,7 +198,10 @@
     }
 }
 
-impl Source {
+impl<W> Source<W>
+where
+    W: Wire,
+{
     async fn next(&mut self, limit: Duration) -> Next {
         let reading = async {
             loop {
@@ -263,7 +267,7 @@
         }
     }
 
-    async fn run(mut self, source: Source, first: Next, tx: BodySender) {
+    async fn run(mut self, source: Source<W>, first: Next, tx: BodySender) {
         let ends = self.job.ends;
         let first_ms = elapsed_ms(self.job.arrived);
         let ended = {
@@ -294,7 +298,7 @@
         // Dropping the sender without an end breaks the client's connection.
     }
 
-    async fn events(&mut self, mut source: Source, first: Next, tx: &BodySender) -> Ended {
+    async fn events(&mut self, mut source: Source<W>, first: Next, tx: &BodySender) -> Ended {
         let pause = self.job.route.pause_objective.unwrap_or(SHORTEST_SILENCE);
         let silence = (pause * SILENCE_IN_PAUSES).max(SHORTEST_SILENCE);
         let mut next = first;
@@ -350,14 +354,14 @@
         }
     }
 
-    async fn resume(&mut self) -> Option<(Source, Next)> {
+    async fn resume(&mut self) -> Option<(Source<W>, Next)> {
         let after = self.last_id.clone();
         // Without an id nobody can say where the stream broke.
         if after.is_none() && self.events > 0 {
             return None;
         }
         let mut ran = true;
-        while self.sender.may_send_again(&self.job, &self.sends, ran) {
+        while self.sends.allow_another(&self.job, ran) {
             let written = self.events * EVENT_TOKENS;
             let place = self
                 .sender
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use briarhall_net::Body;
+use briarhall_net::Call;
 use briarhall_types::ReplicaId;
 use compact_str::CompactString;
 use hyper::HeaderMap;
@@ -100,6 +101,12 @@
     /// Reads the head of a replica's answer.
     fn reply_head(&self, parts: &response::Parts) -> ReplyHead;
 
+    /// Returns the order to set `tokens` of an engine's memory aside under `id`.
+    fn reserve(&self, engine: SocketAddr, id: &str, tokens: u64, hold: Duration) -> Call;
+
+    /// Returns the order to give memory back.
+    fn release(&self, engine: SocketAddr, id: &str) -> Call;
+
     /// Returns whether a call to the directory asks for addresses.
     fn asks_for_addresses(&self, uri: &Uri) -> bool;
 
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -24,6 +24,13 @@
     pub struct WorkKey;
 }
 
+/// Time to read from which work counts as a long read, in milliseconds: more
+/// than two short prompts take.
+const LONG_READ_MS: f32 = 100.0;
+/// Part of a read that is taken to be left as long as its first event has not
+/// come, whatever the prediction was.
+const OVERDUE_PART: f64 = 0.1;
+
 /// Short form of a replica's id in messages.
 pub type ReplicaTag = u32;
 
@@ -63,7 +70,7 @@
     /// Tokens that it holds in the replica's memory.
     pub kv_tokens: u32,
     /// Longest pause between events that its caller accepts, in milliseconds;
-    /// nothing for work without events.
+    /// nothing for a call, and for a part that is read for another replica.
     pub pause_ms: Option<u32>,
     /// Milliseconds since it was sent, as of the message.
     pub age_ms: u32,
@@ -84,6 +91,9 @@
     pub backlog_ms: f64,
     /// Prompts that are being read or wait for it.
     pub reading: usize,
+    /// Those of them that take long: a part that is sent later for another
+    /// replica is read before them, so nothing may be added.
+    pub long_reads: usize,
     /// Longest acceptable pause of each writer, and of each reader that will
     /// write, in milliseconds.
     pub pauses_ms: Vec<u32>,
@@ -177,10 +187,11 @@
     let mut load = Load::default();
     // Prompts are read in the order of their arrival.
     let mut free_at = 0.0_f64;
+    let mut overdue = 0.0_f64;
     let origin = placed.first().map_or(now, |first| first.since);
     for placed in placed {
         let work = placed.work;
-        load.requests += usize::from(work.kv_tokens > 0 || work.phase == Phase::Call);
+        load.requests += usize::from(work.pause_ms.is_some() || work.phase == Phase::Call);
         load.kv_tokens += u64::from(work.kv_tokens);
         load.pauses_ms.extend(work.pause_ms);
         if work.phase == Phase::Reads {
@@ -188,10 +199,12 @@
             let starts = free_at.max(arrived.as_secs_f64() * 1_000.0);
             free_at = starts + f64::from(work.read_ms);
             load.reading += 1;
+            load.long_reads += usize::from(work.read_ms >= LONG_READ_MS);
+            overdue = overdue.max(f64::from(work.read_ms) * OVERDUE_PART);
         }
     }
     let elapsed = now.saturating_duration_since(origin).as_secs_f64() * 1_000.0;
-    load.backlog_ms = (free_at - elapsed).max(0.0);
+    load.backlog_ms = (free_at - elapsed).max(overdue);
     load
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod health;
 pub mod holding;
 pub mod limits;
+pub mod line;
 pub mod members;
 pub mod peers;
 pub mod placement;
--- /dev/null
+++ b/crates/policy/src/line.rs
@@ -0,0 +1,133 @@
+//! The line of long prompts that wait for engines, over all gateways.
+//!
+//! An engine reads what is sent to it side by side, so long prompts sent at the
+//! same moment all end late. They wait here instead, and only the first in line
+//! is sent. Every gateway tells the others who waits at it, and all order the
+//! line alike: first those that can still meet their objective, the most urgent
+//! before the rest; then those that cannot, shortest first, as they give way
+//! to nobody for little.
+
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::peers::VmName;
+
+new_key_type! {
+    /// Key of a prompt that waits at this gateway.
+    pub struct WaiterKey;
+}
+
+/// A long prompt that waits.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Waiter {
+    /// Tells prompts apart, and decides between equals.
+    pub id: u64,
+    /// Service whose engines it waits for, in short form.
+    pub service: u32,
+    /// Rank, 0 first.
+    pub priority: u32,
+    /// Milliseconds until it must be sent to meet its objective; negative when
+    /// it is too late, as of the message.
+    pub slack_ms: f32,
+    /// Time to read it on one engine, in milliseconds.
+    pub read_ms: f32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Placed {
+    waiter: Waiter,
+    as_of: Instant,
+}
+
+/// Everything that waits.
+#[derive(Debug, Default)]
+pub struct Line {
+    own: SlotMap<WaiterKey, Placed>,
+    others: BTreeMap<VmName, Vec<Placed>>,
+}
+
+impl Line {
+    /// A prompt begins to wait.
+    pub fn join(&mut self, waiter: Waiter, now: Instant) -> WaiterKey {
+        self.own.insert(Placed { waiter, as_of: now })
+    }
+
+    /// A prompt waits no more.
+    pub fn leave(&mut self, key: WaiterKey) {
+        self.own.remove(key);
+    }
+
+    /// Takes another gateway's whole list.
+    pub fn told(&mut self, vm: VmName, waiters: Vec<Waiter>, now: Instant) {
+        let placed = waiters.into_iter();
+        let placed = placed.map(|waiter| Placed { waiter, as_of: now });
+        self.others.insert(vm, placed.collect());
+    }
+
+    /// Keeps only the lists of gateways for which `up` holds.
+    pub fn retain_peers<F>(&mut self, up: F)
+    where
+        F: Fn(&VmName) -> bool,
+    {
+        self.others.retain(|vm, _| up(vm));
+    }
+
+    /// Returns this gateway's list, to tell the others.
+    #[must_use]
+    pub fn own(&self, now: Instant) -> Vec<Waiter> {
+        self.own.values().map(|placed| placed.at(now)).collect()
+    }
+
+    /// Returns how many prompts of the same service come before this one.
+    #[must_use]
+    pub fn ahead_of(&self, key: WaiterKey, now: Instant) -> usize {
+        let Some(placed) = self.own.get(key) else {
+            return 0;
+        };
+        let waiter = placed.at(now);
+        let all = self.own.values().chain(self.others.values().flatten());
+        let all = all.map(|placed| placed.at(now));
+        let same = all.filter(|other| other.service == waiter.service);
+        same.filter(|other| before(other, &waiter) == Ordering::Less)
+            .count()
+    }
+}
+
+impl Placed {
+    fn at(&self, now: Instant) -> Waiter {
+        let elapsed = now.saturating_duration_since(self.as_of);
+        Waiter {
+            slack_ms: self.waiter.slack_ms - millis(elapsed),
+            ..self.waiter
+        }
+    }
+}
+
+fn before(a: &Waiter, b: &Waiter) -> Ordering {
+    let late = |waiter: &Waiter| waiter.slack_ms < 0.0;
+    let within = if late(a) {
+        a.read_ms.total_cmp(&b.read_ms)
+    } else {
+        a.slack_ms.total_cmp(&b.slack_ms)
+    };
+    a.priority
+        .cmp(&b.priority)
+        .then(late(a).cmp(&late(b)))
+        .then(within)
+        .then(a.id.cmp(&b.id))
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "a time in milliseconds needs no more digits"
+)]
+fn millis(duration: Duration) -> f32 {
+    (duration.as_secs_f64() * 1_000.0) as f32
+}
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -23,8 +23,34 @@
 const KV_FILL: f64 = 0.95;
 /// Engines that may share one prompt: the wire carries sixteen helpers.
 const MOST_PARTS: usize = 16;
-/// Time to read that is not worth sharing, in milliseconds.
-const SHARE_FROM_MS: f64 = 60.0;
+/// Numbers of parts that are weighed.
+const PARTS: [usize; 10] = [1, 2, 3, 4, 6, 8, 10, 12, 14, 16];
+/// Time to read from which several engines share a prompt: a third of the
+/// pause of 250 ms that callers of short prompts accept.
+const MEDIUM_FROM_MS: f64 = 80.0;
+/// Time to read from which a prompt waits in line: shared by eight engines it
+/// takes half of such a pause.
+const LONG_FROM_MS: f64 = 1_000.0;
+/// Pause up to which a writer cannot run beside long reads, in milliseconds.
+const TIGHT_PAUSE_MS: u32 = 400;
+/// Engines that are kept for short prompts, against those they need now.
+const LANE_SPARE: f64 = 1.25;
+/// Part of an objective within which a short prompt takes the first engine
+/// that offers it.
+const QUICK: f64 = 0.45;
+/// Waiting work up to which an engine counts as free for a long prompt: two
+/// short prompts.
+const FREE_BACKLOG_MS: f64 = 80.0;
+/// Penalty below which a replica counts as sound.
+const SOUND: f64 = 0.5;
+/// Harm, against the prompt's own worth, for which a prompt that has time
+/// rather waits.
+const HARM_TO_WAIT_FOR: f64 = 0.25;
+/// Cost of one more part, against a short prompt's worth: another engine that
+/// may fail, and a step of its own.
+const PART_COST: f64 = 0.05;
+/// Added to what a helper holds, for rounding to blocks.
+const PART_SLACK_TOKENS: u64 = 64;
 
 /// What a prompt needs.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -68,6 +94,9 @@
     pub helpers: Vec<K>,
     /// Time to read one part, in milliseconds.
     pub part_ms: f64,
+    /// Tokens that each helper holds for the prompt; none when the first
+    /// replica holds it whole.
+    pub part_tokens: u64,
     /// Predicted time to the first event, in milliseconds.
     pub predicted_ms: f64,
 }
@@ -109,12 +138,36 @@
     best.map(|best| best.key.clone()).ok_or(NoPlace::NoReplica)
 }
 
-/// Chooses engines for a prompt.
+/// How a prompt is placed, by the time it takes to read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Length {
+    /// One engine reads it between two events of its writers.
+    Short,
+    /// Several engines read it at once, and nobody waits for it.
+    Medium,
+    /// It would hold engines up, so it waits in line for free ones.
+    Long,
+}
+
+/// Returns how a prompt is placed.
+#[must_use]
+pub fn length(spec: &EngineSpec, prompt: &Prompt) -> Length {
+    let whole = read_ms(spec, prompt.tokens, 1);
+    if whole <= MEDIUM_FROM_MS {
+        Length::Short
+    } else if whole <= LONG_FROM_MS {
+        Length::Medium
+    } else {
+        Length::Long
+    }
+}
+
+/// Chooses an engine for a short prompt.
 ///
 /// # Errors
 ///
 /// Returns [`NoPlace`] when it must wait or can never run.
-pub fn prompt<K>(
+pub fn short<K>(
     spec: &EngineSpec,
     prompt: &Prompt,
     candidates: &[Candidate<K>],
@@ -122,42 +175,21 @@
 where
     K: Clone,
 {
-    if candidates.is_empty() {
-        return Err(NoPlace::NoReplica);
-    }
-    if !fits(spec, prompt, 0) {
-        return Err(NoPlace::TooLarge);
-    }
-    let mut ordered = candidates.iter().collect::<Vec<_>>();
-    ordered.sort_by_key(|candidate| candidate.order);
-    let whole_ms = read_ms(spec, prompt.tokens, 1);
-    if whole_ms <= SHARE_FROM_MS.max(prompt.pause_ms * 0.3) {
-        short(spec, prompt, whole_ms, &ordered)
-    } else {
-        long(spec, prompt, &ordered)
-    }
-}
-
-fn short<K>(
-    spec: &EngineSpec,
-    prompt: &Prompt,
-    read: f64,
-    ordered: &[&Candidate<K>],
-) -> Result<Plan<K>, NoPlace>
-where
-    K: Clone,
-{
-    let fits =
-        |c: &&&Candidate<K>| fits(spec, prompt, c.load.kv_tokens) && c.load.requests < c.slots;
+    let read = read_ms(spec, prompt.tokens, 1);
+    let ordered = in_order(candidates)?;
+    let fits = |c: &&&Candidate<K>| {
+        fits(spec, prompt.tokens + prompt.max_output, c) && c.load.requests < c.slots
+    };
     let predicted = |c: &Candidate<K>| first_event_ms(spec, c, read);
-    let good = |c: &&&Candidate<K>| {
-        c.penalty < 0.5
+    let within = |c: &Candidate<K>, part_of_objective: f64| {
+        c.penalty < SOUND
             && filled(c) < FILL
-            && predicted(c) < prompt.objective_ms * MARGIN
+            && predicted(c) < prompt.objective_ms * part_of_objective
             && pass_ms(spec, c, read) < prompt.pause_ms * MARGIN
             && !stretched(spec, c, read)
     };
-    let first_fit = ordered.iter().filter(fits).find(good);
+    let first_fit = |part: f64| ordered.iter().filter(fits).find(|c| within(c, part));
+    let first_fit = || first_fit(QUICK).or_else(|| first_fit(MARGIN));
     let cost = |c: &Candidate<K>| {
         predicted(c) / prompt.objective_ms.max(1.0) + filled(c) + c.penalty * 2.0
     };
@@ -165,88 +197,203 @@
         let fitting = ordered.iter().filter(fits);
         fitting.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     };
-    let chosen = first_fit.or_else(least_bad).ok_or(NoPlace::Full)?;
+    let chosen = first_fit().or_else(least_bad).ok_or(NoPlace::Full)?;
     Ok(Plan {
         first: chosen.key.clone(),
         helpers: Vec::new(),
         part_ms: read,
+        part_tokens: 0,
         predicted_ms: predicted(chosen),
     })
 }
 
-fn long<K>(
+/// Chooses engines for a medium prompt, now.
+///
+/// # Errors
+///
+/// Returns [`NoPlace::Full`] when no engine has room.
+pub fn medium<K>(
     spec: &EngineSpec,
     prompt: &Prompt,
-    ordered: &[&Candidate<K>],
+    candidates: &[Candidate<K>],
 ) -> Result<Plan<K>, NoPlace>
 where
     K: Clone,
 {
-    let mut best: Option<(f64, Plan<K>)> = None;
+    let all = in_order(candidates)?.into_iter().enumerate();
+    let all = all.collect::<Vec<_>>();
+    let best = cheapest(spec, prompt, &all);
+    best.map(|best| best.plan).ok_or(NoPlace::Full)
+}
+
+fn cheapest<K>(
+    spec: &EngineSpec,
+    prompt: &Prompt,
+    engines: &[(usize, &Candidate<K>)],
+) -> Option<Rated<K>>
+where
+    K: Clone,
+{
+    let plans = PARTS.iter().take_while(|parts| **parts <= engines.len());
+    let plans = plans.filter_map(|parts| gang(spec, prompt, engines, *parts));
+    plans.min_by(|a, b| a.cost.total_cmp(&b.cost))
+}
+
+/// Engines at the front of the order that long prompts leave to short ones: as
+/// many as the writers in flight whose callers bear no long pauses need, and
+/// some for those about to come.
+fn short_lane<K>(ordered: &[&Candidate<K>]) -> usize {
+    let tight = |c: &&Candidate<K>| {
+        c.load
+            .pauses_ms
+            .iter()
+            .filter(|p| **p <= TIGHT_PAUSE_MS)
+            .count()
+    };
+    let writers = ordered.iter().map(tight).sum::<usize>();
+    let slots = ordered.iter().map(|c| c.slots).sum::<usize>();
+    let part = ratio(writers, slots) / FILL * LANE_SPARE;
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a part of a small count"
+    )]
+    let lane = (part * ratio(ordered.len(), 1)).ceil() as usize;
+    // Both lanes keep an engine.
+    lane.clamp(1, ordered.len().saturating_sub(1).max(1))
+}
+
+/// Chooses engines for the long prompt that is first in line, with `slack_ms`
+/// left until it must be sent to meet its objective.
+///
+/// # Errors
+///
+/// Returns [`NoPlace::Full`] when waiting is better than any engines now.
+pub fn long<K>(
+    spec: &EngineSpec,
+    prompt: &Prompt,
+    slack_ms: f64,
+    candidates: &[Candidate<K>],
+) -> Result<Plan<K>, NoPlace>
+where
+    K: Clone,
+{
+    let ordered = in_order(candidates)?;
     let most = MOST_PARTS.min(ordered.len());
-    for parts in [1, 2, 3, 4, 6, 8, 10, 12, 14, 16] {
-        if parts > most {
-            break;
-        }
-        let Some((cost, plan)) = gang(spec, prompt, ordered, parts) else {
-            continue;
-        };
-        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-            best = Some((cost, plan));
-        }
+    let smallest = prompt.tokens / (most as u64).max(1) + prompt.max_output;
+    if !holds(spec, smallest) {
+        return Err(NoPlace::TooLarge);
     }
-    best.map(|(_, plan)| plan).ok_or(NoPlace::Full)
+    let lane = short_lane(&ordered);
+    let free = ordered.into_iter().enumerate().skip(lane);
+    let free = free.filter(|(_, c)| is_free(c));
+    let free = free.collect::<Vec<_>>();
+    let best = cheapest(spec, prompt, &free).ok_or(NoPlace::Full)?;
+    let worth = worth(prompt);
+    let can_wait = slack_ms > 0.0;
+    let too_slow = best.plan.predicted_ms > prompt.objective_ms * MARGIN;
+    if can_wait && (too_slow || best.harm > worth * HARM_TO_WAIT_FOR) {
+        return Err(NoPlace::Full);
+    }
+    if best.harm > worth {
+        return Err(NoPlace::Full);
+    }
+    Ok(best.plan)
+}
+
+fn in_order<K>(candidates: &[Candidate<K>]) -> Result<Vec<&Candidate<K>>, NoPlace> {
+    if candidates.is_empty() {
+        return Err(NoPlace::NoReplica);
+    }
+    let mut ordered = candidates.iter().collect::<Vec<_>>();
+    ordered.sort_by_key(|candidate| candidate.order);
+    Ok(ordered)
+}
+
+/// A plan with what it costs.
+struct Rated<K> {
+    cost: f64,
+    /// Short prompts' answers that become late.
+    harm: f64,
+    plan: Plan<K>,
 }
 
-/// Takes the `parts` engines that bear a part with the least harm, and says
-/// what that costs.
+/// Takes the `parts` engines that bear a part with the least harm.
 fn gang<K>(
     spec: &EngineSpec,
     prompt: &Prompt,
-    ordered: &[&Candidate<K>],
+    free: &[(usize, &Candidate<K>)],
     parts: usize,
-) -> Option<(f64, Plan<K>)>
+) -> Option<Rated<K>>
 where
     K: Clone,
 {
     let part = read_ms(spec, prompt.tokens, parts);
+    let part_tokens = prompt.tokens / (parts as u64) + PART_SLACK_TOKENS;
     let worth = worth(prompt);
-    let count = ordered.len();
-    let mut rated = ordered.iter().enumerate();
-    let mut rated = rated
-        .by_ref()
-        .map(|(place, candidate)| {
-            let ready = first_event_ms(spec, candidate, part);
-            let harm = harm(spec, candidate, part) + candidate.penalty * worth;
-            // The back of the order first, where nothing else decides.
-            let place = ratio(count - place, count);
-            let rate = harm + ready / prompt.objective_ms.max(1.0) * worth * 0.2 + place * 0.3;
-            (rate, harm, ready, *candidate)
-        })
-        .collect::<Vec<_>>();
+    let count = free.len();
+    let rate = |(place, candidate): &(usize, &Candidate<K>)| {
+        let ready = first_event_ms(spec, candidate, part);
+        let harm = harm(spec, candidate, part) + candidate.penalty * worth * 0.5;
+        // The back of the order first, where nothing else decides.
+        let front = ratio(count.saturating_sub(*place), count);
+        harm + ready / prompt.objective_ms.max(1.0) + front * 0.3
+    };
+    let mut rated = free.iter().map(|c| (rate(c), c.1)).collect::<Vec<_>>();
     rated.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let holds =
-        |c: &Candidate<K>| fits(spec, prompt, c.load.kv_tokens) && c.load.requests < c.slots;
-    let first = rated.iter().position(|(_, _, _, c)| holds(c))?;
-    let first = rated.remove(first);
-    rated.truncate(parts - 1);
-    let all = || rated.iter().chain([&first]);
-    let predicted = all().map(|(_, _, ready, _)| *ready).fold(0.0, f64::max);
-    let harm = all().map(|(_, harm, _, _)| *harm).sum::<f64>();
+    let whole = prompt.tokens + prompt.max_output;
+    let alone = rated
+        .iter()
+        .position(|(_, c)| fits(spec, whole, c) && has_slot(c));
+    let (first, held) = if let Some(first) = alone {
+        (first, 0)
+    } else {
+        // No engine holds it whole: each holds its part.
+        let own = part_tokens + prompt.max_output;
+        let first = rated
+            .iter()
+            .position(|(_, c)| fits(spec, own, c) && has_slot(c))?;
+        (first, part_tokens)
+    };
+    let (_, first) = rated.remove(first);
+    let helpers = rated.iter().map(|(_, c)| *c);
+    let helpers = helpers.filter(|c| held == 0 || fits(spec, held, c));
+    let helpers = helpers.take(parts - 1).collect::<Vec<_>>();
+    if helpers.len() + 1 < parts {
+        return None;
+    }
+    let all = || helpers.iter().copied().chain([first]);
+    let predicted = all().map(|c| first_event_ms(spec, c, part));
+    let predicted = predicted.fold(0.0, f64::max);
+    let harm = all().map(|c| harm(spec, c, part)).sum::<f64>();
     let late = predicted / (prompt.objective_ms * MARGIN).max(1.0);
     let late = if late > 1.0 {
         0.75 + (late - 1.0) * 0.1
     } else {
-        late * 0.1
+        late * 0.2
     };
-    let cost = harm + worth * late;
     let plan = Plan {
-        first: first.3.key.clone(),
-        helpers: rated.iter().map(|(_, _, _, c)| c.key.clone()).collect(),
+        first: first.key.clone(),
+        helpers: helpers.iter().map(|c| c.key.clone()).collect(),
         part_ms: part,
+        part_tokens: held,
         predicted_ms: predicted,
     };
-    Some((cost, plan))
+    Some(Rated {
+        cost: harm + worth * late + ratio(parts, 1) * PART_COST,
+        harm,
+        plan,
+    })
+}
+
+/// Returns whether a long part may be sent there.
+fn is_free<K>(candidate: &Candidate<K>) -> bool {
+    let load = &candidate.load;
+    load.long_reads == 0 && load.backlog_ms <= FREE_BACKLOG_MS && candidate.penalty < SOUND
+}
+
+fn has_slot<K>(candidate: &Candidate<K>) -> bool {
+    candidate.load.requests < candidate.slots
 }
 
 /// What a prompt is worth against a short one: callers of long ones have
@@ -259,18 +406,17 @@
     1.0 + prompt.tokens as f64 / 10_000.0
 }
 
-fn fits(spec: &EngineSpec, prompt: &Prompt, held: u64) -> bool {
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "token counts are far below 2^52"
-    )]
-    let wanted = (held + prompt.tokens + prompt.max_output) as f64;
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "token counts are far below 2^52"
-    )]
-    let room = spec.kv_tokens as f64 * KV_FILL;
-    wanted <= room
+/// Returns whether a candidate's memory has room for `tokens` more.
+fn fits<K>(spec: &EngineSpec, tokens: u64, candidate: &Candidate<K>) -> bool {
+    holds(spec, candidate.load.kv_tokens + tokens)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts are far below 2^52"
+)]
+fn holds(spec: &EngineSpec, tokens: u64) -> bool {
+    tokens as f64 <= spec.kv_tokens as f64 * KV_FILL
 }
 
 fn filled<K>(candidate: &Candidate<K>) -> f64 {
--- a/crates/policy/src/routes.rs
+++ b/crates/policy/src/routes.rs
@@ -29,7 +29,7 @@
     pub fn new(configuration: Configuration) -> Self {
         let mut by_host = HashMap::<CompactString, Vec<Arc<Route>>>::new();
         for route in configuration.routes {
-            let host = CompactString::from(route.host.to_ascii_lowercase());
+            let host = route.host.to_ascii_lowercase();
             by_host.entry(host).or_default().push(Arc::new(route));
         }
         for routes in by_host.values_mut() {
