Line: aging, and a line that is too long refuses at once

What: three groups in line (waited for most of its time, in time, late); at the end of its time a prompt takes what is free; a line longer than 0.45 of the time left refuses at once with the predicted wait as Retry-After. A part must fit into the pause that callers of such prompts accept. Harm is weighed by the writers' prompts.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -52,6 +52,15 @@
 }
 
 impl GiveUp {
+    /// Sets when a client whose request has not run is to come back.
+    #[must_use]
+    pub fn come_back_in(self, wait: Duration) -> Self {
+        match self {
+            Self::NotRun { .. } => Self::NotRun { retry_after: wait },
+            other => other,
+        }
+    }
+
     /// Returns the name used in logs.
     #[must_use]
     pub fn reason(&self) -> &'static str {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -54,6 +54,10 @@
 const PATIENCE: f64 = 0.3;
 /// The same for a long prompt, whose place in line would be lost.
 const LONG_PATIENCE: f64 = 0.6;
+/// Part of the engines that long prompts have on a busy day.
+const LONG_LANE: f64 = 0.8;
+/// Part of its time left that a long prompt can wait and still be answered.
+const LONGEST_WAIT: f64 = 0.45;
 /// Sends that were turned away, not run, before the client is told.
 const MOST_REFUSALS: u32 = 4;
 
@@ -149,6 +153,16 @@
         if sends.any() && !self.may_repeat(job) {
             return Err(sends.last_word());
         }
+        if let Some(wait) = self.line_too_long(job, written) {
+            log::info!(
+                event = "line_too_long",
+                request = job.head.id.as_str(),
+                service = job.service.as_str(),
+                predicted_wait_ms = wait.as_millis();
+                "line too long"
+            );
+            return Err(sends.last_word().come_back_in(wait));
+        }
         let in_line = self.join_line(job, written);
         let patience = if in_line.is_some() {
             LONG_PATIENCE
@@ -179,6 +193,29 @@
         }
     }
 
+    /// Returns how long a prompt would wait in line, when that is more than it
+    /// can: its client is better off coming back.
+    fn line_too_long(&self, job: &Job, written: u64) -> Option<Duration> {
+        let spec = job.engine.as_ref()?;
+        let prompt = job.prompt(written);
+        if placement::length(spec, &prompt) != Length::Long {
+            return None;
+        }
+        let state = self.shared.state();
+        let engines = state.replicas.usable();
+        let engines = engines.filter(|record| record.service == job.service);
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "counts of replicas are far below 2^52"
+        )]
+        let engines = engines.count().max(1) as f64 * LONG_LANE;
+        let work = state.line.work_ms(tag(job.service.as_str()));
+        drop(state);
+        let own = engine::read_ms(spec, prompt.tokens, 1);
+        let wait = Duration::from_secs_f64((work + own) / engines / 1_000.0);
+        (wait > job.left().mul_f64(LONGEST_WAIT)).then_some(wait)
+    }
+
     /// Puts a long prompt in line.
     fn join_line(&self, job: &Job, written: u64) -> Option<InLine> {
         let spec = job.engine.as_ref()?;
@@ -195,6 +232,7 @@
             service: tag(job.service.as_str()),
             priority: job.rank(),
             slack_ms: job.slack_ms(spec, &prompt) as f32,
+            turn_ms: job.turn_ms() as f32,
             read_ms: engine::read_ms(spec, prompt.tokens, 1) as f32,
         };
         Some(InLine::new(&self.shared, waiter))
@@ -237,8 +275,8 @@
                 Length::Short => placement::short(spec, &prompt, &candidates)?,
                 Length::Medium => placement::medium(spec, &prompt, &candidates)?,
                 Length::Long => {
-                    let slack = job.slack_ms(spec, &prompt);
-                    placement::long(spec, &prompt, slack, &candidates)?
+                    let urgency = job.urgency(spec, &prompt);
+                    placement::long(spec, &prompt, urgency, &candidates)?
                 }
             };
             (plan, Phase::Reads, prompt.tokens + prompt.max_output)
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -6,6 +6,7 @@
 
 use briarhall_policy::engine;
 use briarhall_policy::placement::Prompt;
+use briarhall_policy::placement::Urgency;
 use briarhall_types::EngineSpec;
 use briarhall_types::Organisation;
 use briarhall_types::Route;
@@ -30,6 +31,9 @@
 /// Part of an objective that a plan may use; the rest is for the steps of the
 /// first pass.
 const OBJECTIVE_USED: f64 = 0.85;
+/// Part of its time after which a waiting prompt goes before others; what is
+/// left is enough to read and write it.
+const TURN_AFTER: f64 = 0.4;
 /// Output assumed where the request states none, in tokens.
 const DEFAULT_OUTPUT: u64 = 1_000;
 
@@ -115,6 +119,25 @@
         prompt.objective_ms * OBJECTIVE_USED - waited - read
     }
 
+    /// Returns the milliseconds until it has waited for most of its time.
+    #[must_use]
+    pub fn turn_ms(&self) -> f64 {
+        let turn = self.whole().mul_f64(TURN_AFTER).as_secs_f64();
+        (turn - self.arrived.elapsed().as_secs_f64()) * 1_000.0
+    }
+
+    /// Returns how urgent it is when it is first in line.
+    #[must_use]
+    pub fn urgency(&self, spec: &EngineSpec, prompt: &Prompt) -> Urgency {
+        if self.turn_ms() < 0.0 {
+            Urgency::Last
+        } else if self.slack_ms(spec, prompt) > 0.0 {
+            Urgency::CanWait
+        } else {
+            Urgency::Late
+        }
+    }
+
     /// Returns what it needs of an engine, when `written` tokens of the answer
     /// are to be read again.
     #[must_use]
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -82,6 +82,15 @@
     since: Instant,
 }
 
+/// A request whose events come from a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Writer {
+    /// Longest pause that its caller accepts, in milliseconds.
+    pub pause_ms: u32,
+    /// Tokens of its prompt and answer.
+    pub tokens: u32,
+}
+
 /// Load of one replica, summed over all gateways.
 #[derive(Debug, Clone, Default)]
 pub struct Load {
@@ -94,9 +103,8 @@
     /// Those of them that take long: a part that is sent later for another
     /// replica is read before them, so nothing may be added.
     pub long_reads: usize,
-    /// Longest acceptable pause of each writer, and of each reader that will
-    /// write, in milliseconds.
-    pub pauses_ms: Vec<u32>,
+    /// Requests that write there, or will.
+    pub writers: Vec<Writer>,
     /// Tokens held in memory.
     pub kv_tokens: u64,
 }
@@ -193,7 +201,10 @@
         let work = placed.work;
         load.requests += usize::from(work.pause_ms.is_some() || work.phase == Phase::Call);
         load.kv_tokens += u64::from(work.kv_tokens);
-        load.pauses_ms.extend(work.pause_ms);
+        load.writers.extend(work.pause_ms.map(|pause_ms| Writer {
+            pause_ms,
+            tokens: work.kv_tokens,
+        }));
         if work.phase == Phase::Reads {
             let arrived = placed.since.saturating_duration_since(origin);
             let starts = free_at.max(arrived.as_secs_f64() * 1_000.0);
--- a/crates/policy/src/line.rs
+++ b/crates/policy/src/line.rs
@@ -3,9 +3,9 @@
 //! An engine reads what is sent to it side by side, so long prompts sent at the
 //! same moment all end late. They wait here instead, and only the first in line
 //! is sent. Every gateway tells the others who waits at it, and all order the
-//! line alike: first those that can still meet their objective, the most urgent
-//! before the rest; then those that cannot, shortest first, as they give way
-//! to nobody for little.
+//! line alike: first those that have waited for most of their time, longest
+//! first, so that nothing starves; then those that can still meet their
+//! objective, most urgent first; then the rest, shortest first.
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -36,10 +36,33 @@
     /// Milliseconds until it must be sent to meet its objective; negative when
     /// it is too late, as of the message.
     pub slack_ms: f32,
+    /// Milliseconds until it has waited for most of its time and goes before
+    /// others; negative when it has, as of the message.
+    pub turn_ms: f32,
     /// Time to read it on one engine, in milliseconds.
     pub read_ms: f32,
 }
 
+/// Groups of the line, the first before the second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Group {
+    Overdue,
+    InTime,
+    Late,
+}
+
+impl Waiter {
+    fn group(&self) -> Group {
+        if self.turn_ms < 0.0 {
+            Group::Overdue
+        } else if self.slack_ms >= 0.0 {
+            Group::InTime
+        } else {
+            Group::Late
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Placed {
     waiter: Waiter,
@@ -85,6 +108,15 @@
         self.own.values().map(|placed| placed.at(now)).collect()
     }
 
+    /// Returns the time that one engine would take to read all that waits for
+    /// a service, in milliseconds.
+    #[must_use]
+    pub fn work_ms(&self, service: u32) -> f64 {
+        let all = self.own.values().chain(self.others.values().flatten());
+        let same = all.filter(|placed| placed.waiter.service == service);
+        same.map(|placed| f64::from(placed.waiter.read_ms)).sum()
+    }
+
     /// Returns how many prompts of the same service come before this one.
     #[must_use]
     pub fn ahead_of(&self, key: WaiterKey, now: Instant) -> usize {
@@ -105,21 +137,21 @@
         let elapsed = now.saturating_duration_since(self.as_of);
         Waiter {
             slack_ms: self.waiter.slack_ms - millis(elapsed),
+            turn_ms: self.waiter.turn_ms - millis(elapsed),
             ..self.waiter
         }
     }
 }
 
 fn before(a: &Waiter, b: &Waiter) -> Ordering {
-    let late = |waiter: &Waiter| waiter.slack_ms < 0.0;
-    let within = if late(a) {
-        a.read_ms.total_cmp(&b.read_ms)
-    } else {
-        a.slack_ms.total_cmp(&b.slack_ms)
+    let within = match a.group() {
+        Group::Overdue => a.turn_ms.total_cmp(&b.turn_ms),
+        Group::InTime => a.slack_ms.total_cmp(&b.slack_ms),
+        Group::Late => a.read_ms.total_cmp(&b.read_ms),
     };
     a.priority
         .cmp(&b.priority)
-        .then(late(a).cmp(&late(b)))
+        .then(a.group().cmp(&b.group()))
         .then(within)
         .then(a.id.cmp(&b.id))
 }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -10,6 +10,7 @@
 use thiserror::Error;
 
 use crate::board::Load;
+use crate::board::Writer;
 use crate::engine::read_ms;
 use crate::engine::write_pass_ms;
 
@@ -46,6 +47,9 @@
 /// Harm, against the prompt's own worth, for which a prompt that has time
 /// rather waits.
 const HARM_TO_WAIT_FOR: f64 = 0.25;
+/// Time to write an answer after its first event, in milliseconds: twenty
+/// events of one pass each.
+const TO_WRITE_MS: f64 = 1_500.0;
 /// Cost of one more part, against a short prompt's worth: another engine that
 /// may fail, and a step of its own.
 const PART_COST: f64 = 0.05;
@@ -226,6 +230,12 @@
     best.map(|best| best.plan).ok_or(NoPlace::Full)
 }
 
+/// Returns the most parts that this many engines can take.
+fn most_parts(engines: usize) -> usize {
+    let parts = PARTS.iter().filter(|parts| **parts <= engines);
+    parts.max().copied().unwrap_or(1)
+}
+
 fn cheapest<K>(
     spec: &EngineSpec,
     prompt: &Prompt,
@@ -243,13 +253,8 @@
 /// many as the writers in flight whose callers bear no long pauses need, and
 /// some for those about to come.
 fn short_lane<K>(ordered: &[&Candidate<K>]) -> usize {
-    let tight = |c: &&Candidate<K>| {
-        c.load
-            .pauses_ms
-            .iter()
-            .filter(|p| **p <= TIGHT_PAUSE_MS)
-            .count()
-    };
+    let is_tight = |writer: &&Writer| writer.pause_ms <= TIGHT_PAUSE_MS;
+    let tight = |c: &&Candidate<K>| c.load.writers.iter().filter(is_tight).count();
     let writers = ordered.iter().map(tight).sum::<usize>();
     let slots = ordered.iter().map(|c| c.slots).sum::<usize>();
     let part = ratio(writers, slots) / FILL * LANE_SPARE;
@@ -263,8 +268,18 @@
     lane.clamp(1, ordered.len().saturating_sub(1).max(1))
 }
 
-/// Chooses engines for the long prompt that is first in line, with `slack_ms`
-/// left until it must be sent to meet its objective.
+/// How urgent the long prompt that is first in line has become.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Urgency {
+    /// It can still meet its objective later.
+    CanWait,
+    /// Waiting makes it later.
+    Late,
+    /// It has waited so long that it must run now or never.
+    Last,
+}
+
+/// Chooses engines for the long prompt that is first in line.
 ///
 /// # Errors
 ///
@@ -272,7 +287,7 @@
 pub fn long<K>(
     spec: &EngineSpec,
     prompt: &Prompt,
-    slack_ms: f64,
+    urgency: Urgency,
     candidates: &[Candidate<K>],
 ) -> Result<Plan<K>, NoPlace>
 where
@@ -288,17 +303,32 @@
     let free = ordered.into_iter().enumerate().skip(lane);
     let free = free.filter(|(_, c)| is_free(c));
     let free = free.collect::<Vec<_>>();
+    let lane_size = candidates.len() - lane;
     let best = cheapest(spec, prompt, &free).ok_or(NoPlace::Full)?;
-    let worth = worth(prompt);
-    let can_wait = slack_ms > 0.0;
-    let too_slow = best.plan.predicted_ms > prompt.objective_ms * MARGIN;
-    if can_wait && (too_slow || best.harm > worth * HARM_TO_WAIT_FOR) {
+    let plan = best.plan;
+    if plan.predicted_ms + TO_WRITE_MS > prompt.deadline_ms {
+        return Err(NoPlace::Full);
+    }
+    if urgency == Urgency::Last {
+        return Ok(plan);
+    }
+    // A part must fit into the pause that callers of such prompts accept, or
+    // it takes all engines there are.
+    let parts = plan.helpers.len() + 1;
+    if plan.part_ms > prompt.pause_ms * MARGIN && parts < most_parts(lane_size) {
         return Err(NoPlace::Full);
     }
-    if best.harm > worth {
+    let worth = worth(prompt.tokens);
+    let too_slow = plan.predicted_ms > prompt.objective_ms * MARGIN;
+    let waits_for = if urgency == Urgency::CanWait {
+        HARM_TO_WAIT_FOR
+    } else {
+        1.0
+    };
+    if best.harm > worth * waits_for || too_slow && urgency == Urgency::CanWait {
         return Err(NoPlace::Full);
     }
-    Ok(best.plan)
+    Ok(plan)
 }
 
 fn in_order<K>(candidates: &[Candidate<K>]) -> Result<Vec<&Candidate<K>>, NoPlace> {
@@ -330,7 +360,7 @@
 {
     let part = read_ms(spec, prompt.tokens, parts);
     let part_tokens = prompt.tokens / (parts as u64) + PART_SLACK_TOKENS;
-    let worth = worth(prompt);
+    let worth = worth(prompt.tokens);
     let count = free.len();
     let rate = |(place, candidate): &(usize, &Candidate<K>)| {
         let ready = first_event_ms(spec, candidate, part);
@@ -372,6 +402,11 @@
     } else {
         late * 0.2
     };
+    let too_long = if part > prompt.pause_ms * MARGIN {
+        part / prompt.pause_ms.max(1.0)
+    } else {
+        0.0
+    };
     let plan = Plan {
         first: first.key.clone(),
         helpers: helpers.iter().map(|c| c.key.clone()).collect(),
@@ -380,7 +415,7 @@
         predicted_ms: predicted,
     };
     Some(Rated {
-        cost: harm + worth * late + ratio(parts, 1) * PART_COST,
+        cost: harm + worth * (late + too_long) + ratio(parts, 1) * PART_COST,
         harm,
         plan,
     })
@@ -402,8 +437,8 @@
     clippy::cast_precision_loss,
     reason = "token counts are far below 2^52"
 )]
-fn worth(prompt: &Prompt) -> f64 {
-    1.0 + prompt.tokens as f64 / 10_000.0
+fn worth(tokens: u64) -> f64 {
+    1.0 + tokens as f64 / 10_000.0
 }
 
 /// Returns whether a candidate's memory has room for `tokens` more.
@@ -426,14 +461,14 @@
 /// Duration of the next pass when `read` more is read in it.
 fn pass_ms<K>(spec: &EngineSpec, candidate: &Candidate<K>, read: f64) -> f64 {
     let load = &candidate.load;
-    write_pass_ms(spec, load.pauses_ms.len(), load.kv_tokens) + load.backlog_ms + read
+    write_pass_ms(spec, load.writers.len(), load.kv_tokens) + load.backlog_ms + read
 }
 
 /// Time to the first event: half of the pass that runs, then what waits, then
 /// the own part and the steps of its pass.
 fn first_event_ms<K>(spec: &EngineSpec, candidate: &Candidate<K>, read: f64) -> f64 {
     let load = &candidate.load;
-    let write = write_pass_ms(spec, load.pauses_ms.len(), load.kv_tokens);
+    let write = write_pass_ms(spec, load.writers.len(), load.kv_tokens);
     let running = if load.requests > 0 { write / 2.0 } else { 0.0 };
     running + load.backlog_ms + read + write
 }
@@ -441,25 +476,22 @@
 /// Returns whether `read` more would make an event of a writer late.
 fn stretched<K>(spec: &EngineSpec, candidate: &Candidate<K>, read: f64) -> bool {
     let pass = pass_ms(spec, candidate, read);
-    let pauses = candidate.load.pauses_ms.iter();
-    pauses
-        .min()
-        .is_some_and(|least| pass > f64::from(*least) * MARGIN)
+    let mut writers = candidate.load.writers.iter();
+    writers.any(|writer| is_late(pass, *writer))
 }
 
-/// Writers that `read` more would make late, of those that are not yet.
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "counts of writers are far below 2^52"
-)]
+/// Worth of the writers that `read` more would make late, of those that are
+/// not yet.
 fn harm<K>(spec: &EngineSpec, candidate: &Candidate<K>, read: f64) -> f64 {
     let before = pass_ms(spec, candidate, 0.0);
     let after = pass_ms(spec, candidate, read);
-    let late = |pass: f64| {
-        let pauses = candidate.load.pauses_ms.iter();
-        pauses.filter(|p| pass > f64::from(**p) * MARGIN).count() as f64
-    };
-    late(after) - late(before) * 0.5
+    let writers = candidate.load.writers.iter();
+    let harmed = writers.filter(|w| is_late(after, **w) && !is_late(before, **w));
+    harmed.map(|w| worth(u64::from(w.tokens))).sum()
+}
+
+fn is_late(pass: f64, writer: Writer) -> bool {
+    pass > f64::from(writer.pause_ms) * MARGIN
 }
 
 #[expect(
