--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -33,7 +33,7 @@
 const OBJECTIVE_USED: f64 = 0.85;
 /// Part of its time after which a waiting prompt goes before others; what is
 /// left is enough to read and write it.
-const TURN_AFTER: f64 = 0.4;
+const TURN_AFTER: f64 = 0.55;
 /// Output assumed where the request states none, in tokens.
 const DEFAULT_OUTPUT: u64 = 1_000;
 
--- a/crates/policy/src/line.rs
+++ b/crates/policy/src/line.rs
@@ -5,7 +5,9 @@
 //! is sent. Every gateway tells the others who waits at it, and all order the
 //! line alike: first those that have waited for most of their time, longest
 //! first, so that nothing starves; then those that can still meet their
-//! objective, most urgent first; then the rest, shortest first.
+//! objective; then the rest. The shortest go first in the latter two: reading
+//! costs more than in proportion to length, so under overload that order keeps
+//! the most objectives.
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -146,8 +148,7 @@
 fn before(a: &Waiter, b: &Waiter) -> Ordering {
     let within = match a.group() {
         Group::Overdue => a.turn_ms.total_cmp(&b.turn_ms),
-        Group::InTime => a.slack_ms.total_cmp(&b.slack_ms),
-        Group::Late => a.read_ms.total_cmp(&b.read_ms),
+        Group::InTime | Group::Late => a.read_ms.total_cmp(&b.read_ms),
     };
     a.priority
         .cmp(&b.priority)
