--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,7 @@
 mod replica_watch;
 mod reservation;
 mod settings;
-mod sse;
+pub mod sse;
 mod start;
 mod state;
 mod stop;
--- a/crates/policy/src/peers.rs
+++ b/crates/policy/src/peers.rs
@@ -16,6 +16,9 @@
 /// Silence after which a gateway counts as down: four heartbeats, so that two
 /// lost datagrams and a late one are not taken for a death.
 pub const DOWN_AFTER: Duration = Duration::from_millis(1_200);
+/// Silence of a process after which another one on the same VM is believed:
+/// one and a half heartbeats.
+pub const TAKE_OVER: Duration = Duration::from_millis(450);
 /// Silence after which a gateway is forgotten.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 
@@ -55,7 +58,6 @@
 struct Peer {
     presence: Presence,
     heard: Instant,
-    former: Option<Incarnation>,
 }
 
 /// The gateways one gateway has heard of.
@@ -98,23 +100,25 @@
             let peer = Peer {
                 presence,
                 heard: now,
-                former: None,
             };
             self.peers.insert(vm, peer);
             return Heard::Up;
         };
         let same_process = peer.presence.incarnation == presence.incarnation;
-        if same_process && presence.sequence <= peer.presence.sequence
-            || peer.former == Some(presence.incarnation)
-        {
+        let silent = now.saturating_duration_since(peer.heard);
+        let stale = if same_process {
+            presence.sequence <= peer.presence.sequence
+        } else {
+            // A late datagram of a process that is gone must not displace the
+            // one that lives, which is never silent for so long.
+            silent < TAKE_OVER
+        };
+        if stale {
             return Heard::Stale;
         }
-        let was_up = now.saturating_duration_since(peer.heard) < DOWN_AFTER && same_process;
+        let was_up = silent < DOWN_AFTER && same_process;
         let changed =
             peer.presence.ready != presence.ready || peer.presence.stopping != presence.stopping;
-        if !same_process {
-            peer.former = Some(peer.presence.incarnation);
-        }
         peer.presence = presence;
         peer.heard = now;
         match (was_up, changed) {
--- /dev/null
+++ b/crates/policy/tests/peers.rs
@@ -0,0 +1,122 @@
+//! Heartbeats that come late, twice and from former processes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bolero::TypeGenerator;
+use briarhall_policy::peers::DOWN_AFTER;
+use briarhall_policy::peers::HEARTBEAT;
+use briarhall_policy::peers::Heard;
+use briarhall_policy::peers::Peers;
+use briarhall_policy::peers::Presence;
+use briarhall_policy::peers::TAKE_OVER;
+
+fn presence(incarnation: u64, sequence: u64) -> Presence {
+    let address = SocketAddr::from(([127, 0, 0, 1], 7_340));
+    Presence {
+        vm: "vm-1".into(),
+        incarnation,
+        sequence,
+        mesh: address,
+        relay: address,
+        front: address,
+        zone: "a".into(),
+        ready: true,
+        stopping: false,
+        configuration: sequence,
+        replicas: sequence,
+    }
+}
+
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+enum Op {
+    /// A heartbeat of a former process, or a former one of this process,
+    /// arrives.
+    Old { which: u8 },
+    /// The process that lives sends its next heartbeat in time; it is lost
+    /// perhaps.
+    Beat { lost: bool },
+    /// The process ends and another starts, which takes its time.
+    Restart,
+}
+
+/// Heartbeats that follow one another; two in a row are not lost here.
+#[test]
+fn an_old_heartbeat_never_displaces_a_living_process() {
+    briarhall_fuzz::histories::<Op, _>(1..40, |ops| {
+        let mut now = Instant::now();
+        let mut peers = Peers::default();
+        let (mut incarnation, mut sequence) = (1, 1);
+        let mut sent = vec![presence(incarnation, sequence)];
+        peers.heard(sent[0].clone(), now);
+        let mut lost_before = false;
+        for op in ops {
+            match *op {
+                Op::Old { which } => {
+                    let old = sent[usize::from(which) % sent.len()].clone();
+                    assert_eq!(peers.heard(old, now), Heard::Stale);
+                }
+                Op::Beat { lost } => {
+                    now += HEARTBEAT;
+                    sequence += 1;
+                    let beat = presence(incarnation, sequence);
+                    sent.push(beat.clone());
+                    // A lost one is made good by one on a change.
+                    if lost && !lost_before {
+                        lost_before = true;
+                        now += HEARTBEAT / 4;
+                        sequence += 1;
+                        peers.heard(presence(incarnation, sequence), now);
+                    } else {
+                        lost_before = false;
+                        assert_ne!(peers.heard(beat, now), Heard::Stale);
+                    }
+                }
+                Op::Restart => {
+                    now += TAKE_OVER;
+                    incarnation += 1;
+                    sequence = 1;
+                    let beat = presence(incarnation, sequence);
+                    sent.push(beat.clone());
+                    assert_eq!(peers.heard(beat, now), Heard::Up);
+                }
+            }
+        }
+    });
+}
+
+#[test]
+fn a_silent_gateway_leaves_the_directory_and_returns() {
+    let now = Instant::now();
+    let mut peers = Peers::default();
+    peers.heard(presence(1, 1), now);
+    assert_eq!(peers.serving(now).count(), 1);
+    let later = now + DOWN_AFTER;
+    assert_eq!(peers.serving(later).count(), 0);
+    assert_eq!(peers.heard(presence(1, 2), later), Heard::Up);
+    assert_eq!(peers.serving(later).count(), 1);
+}
+
+#[test]
+fn a_stopping_gateway_leaves_the_directory_at_once() {
+    let now = Instant::now();
+    let mut peers = Peers::default();
+    peers.heard(presence(1, 1), now);
+    let mut stopping = presence(1, 2);
+    stopping.stopping = true;
+    assert_eq!(peers.heard(stopping, now), Heard::Changed);
+    assert_eq!(peers.serving(now).count(), 0);
+    assert_eq!(peers.up(now).count(), 1, "it still tells what it knows");
+}
+
+#[test]
+fn who_is_ahead_is_asked() {
+    let now = Instant::now();
+    let mut peers = Peers::default();
+    peers.heard(presence(1, 7), now);
+    assert!(peers.newer_configuration(6, now).is_some());
+    assert!(peers.newer_configuration(7, now).is_none());
+    let later = now + DOWN_AFTER + Duration::from_millis(1);
+    assert!(peers.newer_configuration(6, later).is_none(), "it is down");
+}
--- /dev/null
+++ b/crates/policy/tests/placement.rs
@@ -0,0 +1,338 @@
+//! Placement and the line of long prompts: what they must never do, and the
+//! patterns of load that they answer.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bolero::TypeGenerator;
+use briarhall_policy::board::Board;
+use briarhall_policy::board::Load;
+use briarhall_policy::board::Phase;
+use briarhall_policy::board::Work;
+use briarhall_policy::board::Writer;
+use briarhall_policy::engine::read_ms;
+use briarhall_policy::engine::write_pass_ms;
+use briarhall_policy::line::Line;
+use briarhall_policy::line::Waiter;
+use briarhall_policy::placement;
+use briarhall_policy::placement::Candidate;
+use briarhall_policy::placement::Length;
+use briarhall_policy::placement::NoPlace;
+use briarhall_policy::placement::Plan;
+use briarhall_policy::placement::Prompt;
+use briarhall_policy::placement::Urgency;
+use briarhall_types::EngineSpec;
+
+const SLOTS: usize = 16;
+const ENGINES: usize = 21;
+
+fn spec() -> EngineSpec {
+    EngineSpec {
+        slots: 16,
+        kv_tokens: 405_000,
+        stride: 34,
+        step_ms: 1.31,
+        per_writer_ms: 0.000_917,
+        context_per_k_ms: 0.002_13,
+        read_per_ms: 154.0,
+        pairs_per_m_ms: 0.162,
+        chunk: 2_048,
+    }
+}
+
+fn prompt(tokens: u64) -> Prompt {
+    let (objective_ms, pause_ms, deadline_ms) = match tokens {
+        0..=24_000 => (300.0, 250.0, 10_000.0),
+        24_001..=110_000 => (1_500.0, 600.0, 10_000.0),
+        _ => (3_000.0, 1_000.0, 15_000.0),
+    };
+    Prompt {
+        tokens,
+        max_output: 700,
+        objective_ms,
+        pause_ms,
+        deadline_ms,
+    }
+}
+
+fn engine(key: usize, load: Load) -> Candidate<usize> {
+    Candidate {
+        key,
+        order: key as u64,
+        slots: SLOTS,
+        load,
+        penalty: 0.0,
+        near: true,
+    }
+}
+
+fn idle(count: usize) -> Vec<Candidate<usize>> {
+    let engines = (0..count).map(|key| engine(key, Load::default()));
+    engines.collect()
+}
+
+fn with_writers(count: usize, pause_ms: u32) -> Load {
+    let tokens = 5_000;
+    Load {
+        requests: count,
+        writers: vec![Writer { pause_ms, tokens }; count],
+        kv_tokens: u64::from(tokens) * count as u64,
+        ..Load::default()
+    }
+}
+
+fn place(prompt: &Prompt, candidates: &[Candidate<usize>]) -> Result<Plan<usize>, NoPlace> {
+    match placement::length(&spec(), prompt) {
+        Length::Short => placement::short(&spec(), prompt, candidates),
+        Length::Medium => placement::medium(&spec(), prompt, candidates),
+        Length::Long => placement::long(&spec(), prompt, Urgency::Late, candidates),
+    }
+}
+
+#[derive(Debug, Clone, TypeGenerator)]
+struct Fleet {
+    engines: Vec<(u8, u8, u16, u8)>,
+    tokens: u32,
+}
+
+#[test]
+fn a_plan_never_overfills_memory_nor_names_an_engine_twice() {
+    briarhall_fuzz::values::<Fleet, _>(|fleet| {
+        let engines = fleet.engines.iter().take(24).enumerate();
+        let engines = engines.map(|(key, (writers, backlog, kv, penalty))| {
+            let mut load = with_writers(usize::from(*writers) % 20, 250);
+            load.kv_tokens = u64::from(*kv) * 6;
+            load.backlog_ms = f64::from(*backlog);
+            load.long_reads = usize::from(*backlog > 100);
+            let mut engine = engine(key, load);
+            engine.penalty = f64::from(*penalty) / 64.0;
+            engine
+        });
+        let engines = engines.collect::<Vec<_>>();
+        let prompt = prompt(u64::from(fleet.tokens) % 1_000_000);
+        let Ok(plan) = place(&prompt, &engines) else {
+            return;
+        };
+        let kv = |key: usize| engines[key].load.kv_tokens;
+        let parts = plan.helpers.len() as u64 + 1;
+        assert!(parts <= 16, "{parts} parts");
+        let mut named = plan.helpers.clone();
+        named.push(plan.first);
+        named.sort_unstable();
+        named.dedup();
+        assert_eq!(named.len() as u64, parts, "an engine is named twice");
+        let first = if plan.part_tokens == 0 {
+            prompt.tokens
+        } else {
+            assert!(
+                plan.part_tokens * parts >= prompt.tokens,
+                "a part is nowhere"
+            );
+            plan.part_tokens
+        };
+        assert!(kv(plan.first) + first + prompt.max_output <= spec().kv_tokens);
+        for helper in &plan.helpers {
+            assert!(kv(*helper) + plan.part_tokens <= spec().kv_tokens);
+        }
+        assert!(engines[plan.first].load.requests < SLOTS);
+    });
+}
+
+#[test]
+fn the_cost_of_a_prompt_follows_the_engines_figures() {
+    let ms = |tokens, parts| read_ms(&spec(), tokens, parts).round();
+    assert_eq!(ms(5_000, 1), 34.0);
+    assert_eq!(ms(45_000, 1), 456.0);
+    assert_eq!(ms(182_000, 1), 3_865.0);
+    assert_eq!(ms(182_000, 16), 242.0);
+    assert_eq!(write_pass_ms(&spec(), 16, 80_000).round(), 51.0);
+}
+
+/// Pattern: many short prompts at once. They fill engines one after the other,
+/// so that the rest stays free for long ones.
+#[test]
+fn short_prompts_fill_the_front_of_the_order() {
+    let mut engines = idle(ENGINES);
+    for _ in 0..40 {
+        let plan = place(&prompt(5_000), &engines).expect("there is room");
+        let load = &mut engines[plan.first].load;
+        load.requests += 1;
+        load.kv_tokens += 5_700;
+        load.writers.push(Writer {
+            pause_ms: 250,
+            tokens: 5_700,
+        });
+    }
+    let used = engines.iter().filter(|e| e.load.requests > 0).count();
+    assert!(used <= 4, "{used} engines for forty writers of 16 each");
+}
+
+/// Pattern: a long prompt while short ones are answered. It takes engines from
+/// the back, and none whose writers it would make late.
+#[test]
+fn a_long_prompt_spares_the_writers_of_short_ones() {
+    let mut engines = idle(ENGINES);
+    for engine in &mut engines[..3] {
+        engine.load = with_writers(13, 250);
+    }
+    let plan = place(&prompt(182_000), &engines).expect("engines are free");
+    let all = plan.helpers.iter().chain([&plan.first]);
+    assert!(all.clone().all(|key| *key >= 3), "{plan:?}");
+    assert!(plan.predicted_ms < 1_500.0, "{plan:?}");
+}
+
+/// Pattern: the load swings from short to long. As long as every engine has
+/// writers that bear no pause, a prompt that has time waits.
+#[test]
+fn a_long_prompt_with_time_waits_for_writers_to_end() {
+    let busy = (0..ENGINES).map(|key| engine(key, with_writers(12, 250)));
+    let busy = busy.collect::<Vec<_>>();
+    let placed = placement::long(&spec(), &prompt(182_000), Urgency::CanWait, &busy);
+    assert_eq!(placed, Err(NoPlace::Full));
+}
+
+/// Pattern: long prompts beyond what engines can do. A second part on an engine
+/// that reads one would overtake it, so the prompt waits.
+#[test]
+fn no_second_long_part_on_an_engine() {
+    let mut engines = idle(ENGINES);
+    for engine in &mut engines {
+        engine.load.long_reads = 1;
+        engine.load.backlog_ms = 20.0;
+    }
+    assert_eq!(place(&prompt(182_000), &engines), Err(NoPlace::Full));
+}
+
+#[test]
+fn a_prompt_larger_than_an_engine_is_held_by_several() {
+    let plan = place(&prompt(700_000), &idle(ENGINES)).expect("engines are free");
+    assert!(plan.part_tokens > 0);
+    let parts = plan.helpers.len() as u64 + 1;
+    assert!(plan.part_tokens * parts >= 700_000);
+    assert_eq!(place(&prompt(700_000), &idle(1)), Err(NoPlace::TooLarge));
+}
+
+#[test]
+fn a_medium_prompt_never_waits_in_line() {
+    assert_eq!(placement::length(&spec(), &prompt(45_000)), Length::Medium);
+    let mut engines = idle(ENGINES);
+    for engine in &mut engines {
+        engine.load.long_reads = 1;
+        engine.load.backlog_ms = 300.0;
+    }
+    assert!(place(&prompt(45_000), &engines).is_ok());
+}
+
+fn waiter(id: u64, slack_ms: f32, turn_ms: f32, read_ms: f32) -> Waiter {
+    Waiter {
+        id,
+        service: 1,
+        priority: 1,
+        slack_ms,
+        turn_ms,
+        read_ms,
+    }
+}
+
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+struct Waits {
+    at: u8,
+    slack: i16,
+    turn: i16,
+    read: u16,
+}
+
+/// All gateways agree who is first, and exactly one prompt is.
+#[test]
+fn exactly_one_prompt_is_first_in_line() {
+    briarhall_fuzz::histories::<Waits, _>(1..20, |waits| {
+        let now = Instant::now();
+        let mut lines = (0..3).map(|_| Line::default()).collect::<Vec<_>>();
+        let mut keys = Vec::new();
+        for (id, w) in waits.iter().enumerate() {
+            let at = usize::from(w.at) % lines.len();
+            let waiter = waiter(id as u64, w.slack.into(), w.turn.into(), w.read.into());
+            keys.push((at, lines[at].join(waiter, now)));
+        }
+        let told = lines.iter().map(|line| line.own(now)).collect::<Vec<_>>();
+        for (to, line) in lines.iter_mut().enumerate() {
+            for (from, waiters) in told.iter().enumerate().filter(|(from, _)| *from != to) {
+                line.told(format!("vm-{from}").into(), waiters.clone(), now);
+            }
+        }
+        let first = keys
+            .iter()
+            .filter(|(at, key)| lines[*at].ahead_of(*key, now) == 0);
+        assert_eq!(first.count(), 1);
+        let mut places = keys.iter().map(|(at, key)| lines[*at].ahead_of(*key, now));
+        let mut places = places.by_ref().collect::<Vec<_>>();
+        places.sort_unstable();
+        assert!(places.iter().copied().eq(0..waits.len()), "{places:?}");
+    });
+}
+
+#[test]
+fn who_waited_for_most_of_its_time_goes_first() {
+    let now = Instant::now();
+    let mut line = Line::default();
+    let giant = line.join(waiter(1, -5_000.0, 400.0, 20_000.0), now);
+    for id in 2..8 {
+        line.join(waiter(id, 1_000.0, 8_000.0, 1_200.0), now);
+    }
+    assert_eq!(line.ahead_of(giant, now), 6);
+    let later = now + Duration::from_millis(401);
+    assert_eq!(line.ahead_of(giant, later), 0);
+}
+
+#[test]
+fn a_gateway_that_went_down_keeps_nobody_waiting() {
+    let now = Instant::now();
+    let mut line = Line::default();
+    let own = line.join(waiter(9, 1_000.0, 8_000.0, 2_000.0), now);
+    line.told(
+        "vm-2".into(),
+        vec![waiter(1, 1_000.0, 8_000.0, 1_500.0)],
+        now,
+    );
+    assert_eq!(line.ahead_of(own, now), 1);
+    line.retain_peers(|vm| vm != "vm-2");
+    assert_eq!(line.ahead_of(own, now), 0);
+}
+
+fn reads(replica: u32, read_ms: f32, pause_ms: Option<u32>) -> Work {
+    Work {
+        replica,
+        phase: Phase::Reads,
+        read_ms,
+        kv_tokens: 1_000,
+        pause_ms,
+        age_ms: 0,
+    }
+}
+
+#[test]
+fn a_list_replaces_the_one_before() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    board.told("vm-2".into(), vec![reads(7, 300.0, Some(250)); 3], now);
+    assert_eq!(board.loads(now)[&7].requests, 3);
+    board.told("vm-2".into(), vec![reads(7, 300.0, Some(250))], now);
+    assert_eq!(board.loads(now)[&7].requests, 1);
+    board.retain_peers(|_| false);
+    assert!(board.loads(now).is_empty());
+}
+
+#[test]
+fn what_waits_is_read_one_after_the_other() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    let first = board.sent(reads(7, 300.0, Some(1_000)), now);
+    board.sent(reads(7, 200.0, None), now);
+    let load = &board.loads(now)[&7];
+    assert_eq!(load.backlog_ms.round(), 500.0);
+    assert_eq!(load.requests, 1, "a part takes no slot");
+    assert_eq!(load.long_reads, 2);
+    board.writes(first);
+    let later = now + Duration::from_millis(100);
+    assert_eq!(board.loads(later)[&7].backlog_ms.round(), 100.0);
+}
--- /dev/null
+++ b/crates/policy/tests/replicas.rs
@@ -0,0 +1,238 @@
+//! The registry of replicas under outages, restarts and foreign entries,
+//! against a plain model of what may be used.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bolero::TypeGenerator;
+use briarhall_policy::replicas::Belief;
+use briarhall_policy::replicas::RENEWAL;
+use briarhall_policy::replicas::Replicas;
+use briarhall_policy::replicas::SHORTEST_LAPSE;
+use briarhall_types::ReplicaChange;
+use briarhall_types::ReplicaEntry;
+use briarhall_types::ReplicaId;
+use briarhall_types::ReplicaRecord;
+use compact_str::format_compact;
+
+const IDS: u8 = 5;
+
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+enum Op {
+    /// A replica writes its entry.
+    Write {
+        id: u8,
+        leaving: bool,
+        readable: bool,
+    },
+    /// Its entry is removed.
+    Remove { id: u8 },
+    /// The watch delivers what was missed; nothing while the registry is away.
+    Deliver,
+    /// The gateway lists anew, also after an outage.
+    List,
+    /// The registry goes away; entries lapse if it stays away.
+    Outage { lapse: bool, long: bool },
+    /// Time passes, in units of 100 ms.
+    Advance { steps: u8 },
+}
+
+/// The registry as it is, and what the gateway was told.
+struct World {
+    now: Instant,
+    revision: u64,
+    stored: BTreeMap<ReplicaId, ReplicaEntry>,
+    undelivered: Vec<ReplicaChange>,
+    replicas: Replicas,
+    /// Entries that lapsed in the last outage, and when it ended.
+    lapsed: BTreeMap<ReplicaId, Instant>,
+}
+
+fn name(id: u8) -> ReplicaId {
+    format_compact!("i-{}", id % IDS)
+}
+
+fn record(id: &ReplicaId, leaving: bool) -> ReplicaRecord {
+    ReplicaRecord {
+        id: id.clone(),
+        service: "llm".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 8_080)),
+        zone: "a".into(),
+        slots: 16,
+        leaving,
+        warm_in: Duration::ZERO,
+        started_unix_ms: Some(1),
+    }
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            now: Instant::now() + Duration::from_hours(1),
+            revision: 1,
+            stored: BTreeMap::new(),
+            undelivered: Vec::new(),
+            replicas: Replicas::default(),
+            lapsed: BTreeMap::new(),
+        }
+    }
+
+    fn step(&mut self, op: Op) {
+        match op {
+            Op::Write {
+                id,
+                leaving,
+                readable,
+            } => {
+                let id = name(id);
+                self.revision += 1;
+                let entry = ReplicaEntry {
+                    record: readable.then(|| record(&id, leaving)),
+                    revision: self.revision,
+                    id: id.clone(),
+                };
+                self.stored.insert(id, entry.clone());
+                let removed = false;
+                self.undelivered.push(ReplicaChange { entry, removed });
+            }
+            Op::Remove { id } => {
+                let id = name(id);
+                if let Some(mut entry) = self.stored.remove(&id) {
+                    self.revision += 1;
+                    entry.revision = self.revision;
+                    let removed = true;
+                    self.undelivered.push(ReplicaChange { entry, removed });
+                }
+            }
+            Op::Deliver => {
+                self.replicas.registry_back(self.now);
+                let changes = std::mem::take(&mut self.undelivered);
+                self.replicas.changed(changes, self.revision, self.now);
+            }
+            Op::List => self.list(),
+            Op::Outage { lapse, long } => self.outage(lapse, long),
+            Op::Advance { steps } => {
+                self.now += Duration::from_millis(100) * u32::from(steps % 40);
+                self.replicas.expire(self.now);
+            }
+        }
+        self.check();
+    }
+
+    fn list(&mut self) {
+        self.undelivered.clear();
+        self.replicas.registry_back(self.now);
+        let entries = self.stored.values().cloned().collect();
+        self.replicas.listed(entries, self.revision, self.now);
+    }
+
+    fn outage(&mut self, lapse: bool, long: bool) {
+        // What was written before is known before the registry goes.
+        self.list();
+        self.replicas.registry_lost(self.now);
+        if long {
+            self.now += SHORTEST_LAPSE;
+        }
+        if lapse && long {
+            self.revision += 1;
+            let usable = self.replicas.usable().map(|r| r.id.clone());
+            for id in usable.collect::<Vec<_>>() {
+                self.stored.remove(&id);
+                self.lapsed.insert(id, self.now);
+            }
+        }
+        self.list();
+    }
+
+    fn check(&mut self) {
+        let now = self.now;
+        let stored = &self.stored;
+        self.lapsed.retain(|id, ended| {
+            now.saturating_duration_since(*ended) < RENEWAL && !stored.contains_key(id)
+        });
+        for replica in self.replicas.usable() {
+            assert!(
+                !replica.leaving,
+                "a leaving replica is used: {}",
+                replica.id
+            );
+        }
+        if !self.undelivered.is_empty() {
+            return;
+        }
+        for id in (0..IDS).map(name) {
+            let listed = self.stored.get(&id).and_then(|entry| entry.record.as_ref());
+            let wanted = listed.is_some_and(|record| !record.leaving);
+            let used = self.replicas.takes_work(&id);
+            if self.lapsed.contains_key(&id) {
+                assert!(used, "{id} lapsed with the registry and is dropped at once");
+            } else if wanted {
+                assert!(used, "{id} is listed and not used");
+            }
+        }
+    }
+}
+
+#[test]
+fn only_what_lives_is_used() {
+    briarhall_fuzz::histories::<Op, _>(1..40, |ops| {
+        let mut world = World::new();
+        for op in ops {
+            world.step(*op);
+        }
+        // In the end everything that lapsed and was not renewed is gone.
+        world.step(Op::List);
+        world.step(Op::Advance { steps: 39 });
+        for id in (0..IDS).map(name) {
+            let listed = world
+                .stored
+                .get(&id)
+                .and_then(|entry| entry.record.as_ref());
+            let wanted = listed.is_some_and(|record| !record.leaving);
+            assert_eq!(world.replicas.takes_work(&id), wanted, "{id} in the end");
+        }
+    });
+}
+
+fn entry(id: &str, revision: u64, leaving: bool, started: u64) -> ReplicaEntry {
+    let id = ReplicaId::from(id);
+    let mut record = record(&id, leaving);
+    record.started_unix_ms = Some(started);
+    ReplicaEntry {
+        record: Some(record),
+        id,
+        revision,
+    }
+}
+
+#[test]
+fn a_restart_under_the_same_id_is_told() {
+    let now = Instant::now();
+    let mut replicas = Replicas::default();
+    replicas.listed(vec![entry("i-1", 5, false, 100)], 5, now);
+    let events = replicas.listed(vec![entry("i-1", 9, false, 200)], 9, now);
+    assert_eq!(events[0].what, Belief::Restarted);
+    assert!(replicas.takes_work("i-1"));
+}
+
+#[test]
+fn an_older_entry_does_not_undo_a_later_one() {
+    let now = Instant::now();
+    let mut replicas = Replicas::default();
+    replicas.listed(vec![entry("i-1", 9, true, 100)], 9, now);
+    let events = replicas.relayed(vec![entry("i-1", 5, false, 100)], 5);
+    assert!(events.is_empty());
+    assert!(!replicas.takes_work("i-1"));
+}
+
+#[test]
+fn what_a_peer_knows_to_be_gone_is_gone_during_an_outage() {
+    let now = Instant::now();
+    let mut replicas = Replicas::default();
+    replicas.listed(vec![entry("i-1", 5, false, 100)], 5, now);
+    replicas.registry_lost(now);
+    replicas.relayed(Vec::new(), 8);
+    assert!(!replicas.takes_work("i-1"));
+}
