--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -111,6 +111,7 @@
     address: SocketAddr,
     method: Method,
     path: String,
+    host: Option<String>,
     headers: Vec<Header>,
     body: Body,
 }
@@ -129,6 +130,7 @@
             address,
             method,
             path: path.into(),
+            host: None,
             headers: Vec::new(),
             body: Body::empty(),
         }
@@ -146,6 +148,13 @@
         Self::new(Method::POST, address, path)
     }
 
+    /// Names another host than the address.
+    #[must_use]
+    pub fn named_host(mut self, host: impl Into<String>) -> Self {
+        self.host = Some(host.into());
+        self
+    }
+
     /// Adds a header; one whose value HTTP cannot carry is left out.
     #[must_use]
     pub fn header(mut self, name: &'static str, value: impl AsRef<str>) -> Self {
@@ -179,7 +188,7 @@
         let mut req = Request::builder()
             .method(self.method)
             .uri(self.path)
-            .header(HOST, address.to_string())
+            .header(HOST, self.host.unwrap_or_else(|| address.to_string()))
             .body(self.body)
             .map_err(|e| HttpError::Build {
                 address,
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -180,7 +180,8 @@
         let _gone = to.shutdown(Shutdown::Write);
     }
 
-    fn order(&self, order: OpenConnections) {
+    /// Does something to the connections that are open now.
+    pub fn order(&self, order: OpenConnections) {
         for tx in self.state().open.drain(..) {
             // A connection that has ended needs no order.
             let _ended = tx.try_send(order);
