Metrics over HTTP, briarhall explain, versions in the lines that decide

Cause: on-call engineers have only logs and metrics; the gateway served no metrics, and nothing joined the lines of several gateways.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -40,6 +40,20 @@
     Drain(DrainArgs),
     /// Keys.
     Key(KeyArgs),
+    /// One request's story.
+    Explain(ExplainArgs),
+}
+
+/// tell one request's story from the logs of one or several gateways
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// id of the request
+    #[argh(positional)]
+    pub request: String,
+    /// files with log lines; `-` for standard input
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
 }
 
 /// check, apply, compare and list contracts
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,7 +1,10 @@
 //! What each command does.
 
 use std::fs;
+use std::io;
 
+use briarhall_explain::read_lines;
+use briarhall_explain::story;
 use briarhall_types::Digest;
 use serde_json::Value;
 
@@ -9,6 +12,7 @@
 use crate::args::AuditArgs;
 use crate::args::Command;
 use crate::args::DigestArgs;
+use crate::args::ExplainArgs;
 use crate::args::KeyCommand;
 use crate::client::Client;
 use crate::contracts;
@@ -26,7 +30,7 @@
         return Ok(());
     }
     let Some(command) = &args.command else {
-        let usage = "name a command: contract, status, audit, drain or key; see `--help`";
+        let usage = "name a command: contract, status, audit, drain, key or explain; see `--help`";
         return Err(CommandError::Usage(usage.to_owned()));
     };
     match command {
@@ -37,6 +41,7 @@
         Command::Key(key) => match &key.command {
             KeyCommand::Digest(digest) => print_digest(digest),
         },
+        Command::Explain(explain) => tell_story(explain),
     }
 }
 
@@ -78,3 +83,28 @@
     println!("{}", Digest::of(key.trim().as_bytes()));
     Ok(())
 }
+
+fn tell_story(args: &ExplainArgs) -> Result<(), CommandError> {
+    let mut lines = Vec::new();
+    for path in &args.files {
+        let text = if path.as_os_str() == "-" {
+            io::read_to_string(io::stdin())
+        } else {
+            fs::read_to_string(path)
+        };
+        let text = text.map_err(|source| CommandError::Read {
+            path: path.clone(),
+            source,
+        })?;
+        let origin = path.file_stem().map(|name| name.to_string_lossy());
+        lines.extend(read_lines(&text, &origin.unwrap_or_default()));
+    }
+    let told = story(&args.request, &lines);
+    if told.is_empty() {
+        return Err(CommandError::NoStory(args.request.clone()));
+    }
+    for moment in told {
+        println!("{moment}");
+    }
+    Ok(())
+}
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -28,6 +28,11 @@
         /// What the system said.
         source: io::Error,
     },
+    /// No log line names the request.
+    #[error(
+        "briarhall: no line names request `{0}`; pass the logs of every gateway that may have had it"
+    )]
+    NoStory(String),
     /// The router did not answer.
     #[error("briarhall: {0}; check `--router`, or name another router")]
     Call(#[from] HttpError),
--- /dev/null
+++ b/crates/explain/src/lib.rs
@@ -0,0 +1,153 @@
+//! One request's story, from the log lines of one or several gateways.
+//!
+//! Beside the lines that name the request, the story holds what the gateways
+//! believed at that time: the configuration that was last put in force, and
+//! what became known of the replicas that the request met.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::fmt::Display;
+
+use compact_str::CompactString;
+use serde_json::Map;
+use serde_json::Value;
+
+/// Time before a request's first line in which news of a replica it met belongs
+/// to its story.
+const NEWS_BEFORE_MS: i64 = 15_000;
+
+/// A log line.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Line {
+    /// Where it comes from: a VM, or a file.
+    pub origin: CompactString,
+    /// Milliseconds, for order; their start is the same for all lines.
+    pub at_ms: i64,
+    /// Name of the event.
+    pub event: CompactString,
+    /// Its other fields.
+    pub fields: Map<String, Value>,
+}
+
+/// A line of the story.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Moment {
+    /// Milliseconds since the request was first heard of; negative before.
+    pub since_ms: i64,
+    /// The line.
+    pub line: Line,
+}
+
+/// Reads log lines. What stands before a line's JSON is its origin, where
+/// there is something; lines that are no log lines are passed over.
+#[must_use]
+pub fn read_lines(text: &str, origin: &str) -> Vec<Line> {
+    let lines = text.lines().filter_map(|text| read_line(text, origin));
+    lines.collect()
+}
+
+fn read_line(text: &str, origin: &str) -> Option<Line> {
+    let (before, json) = text.split_at(text.find('{')?);
+    let document = serde_json::from_str::<Value>(json).ok()?;
+    let mut fields = document.get("kv")?.as_object()?.clone();
+    let event = fields.remove("event")?;
+    let named = before.split_whitespace().next_back();
+    Some(Line {
+        origin: CompactString::from(named.unwrap_or(origin)),
+        at_ms: millis_of(document.get("timestamp")?.as_str()?)?,
+        event: CompactString::from(event.as_str()?),
+        fields,
+    })
+}
+
+/// Reads the time of a line, such as `2026-07-10 05:24:00.027348 +00:00`, as
+/// milliseconds; days count from year 0 as if every month had 31.
+fn millis_of(text: &str) -> Option<i64> {
+    let mut parts = text.split_whitespace();
+    let mut date = parts.next()?.splitn(3, '-').map(str::parse::<i64>);
+    let mut next = || date.next()?.ok();
+    let days = (next()? * 12 + next()?) * 31 + next()?;
+    let mut time = parts.next()?.splitn(3, ':');
+    let hours = time.next()?.parse::<i64>().ok()?;
+    let minutes = time.next()?.parse::<i64>().ok()?;
+    let (seconds, fraction) = time.next()?.split_once('.')?;
+    let fraction = format!("{fraction:0<3}");
+    let millis = fraction.get(..3)?.parse::<i64>().ok()?;
+    let seconds = seconds.parse::<i64>().ok()?;
+    Some((((days * 24 + hours) * 60 + minutes) * 60 + seconds) * 1_000 + millis)
+}
+
+/// Tells the story of a request, in order of time; nothing when no line names
+/// it.
+#[must_use]
+pub fn story(request: &str, lines: &[Line]) -> Vec<Moment> {
+    let own = lines.iter().filter(|line| line.text("request") == request);
+    let own = own.collect::<Vec<_>>();
+    let times = own.iter().map(|line| line.at_ms);
+    let Some((first, last)) = times.clone().min().zip(times.max()) else {
+        return Vec::new();
+    };
+    let origins = own.iter().map(|line| &line.origin).collect::<BTreeSet<_>>();
+    let met = own
+        .iter()
+        .flat_map(|line| line.replicas())
+        .collect::<BTreeSet<_>>();
+    let news = lines.iter().filter(|line| {
+        line.event == "replica"
+            && origins.contains(&line.origin)
+            && met.contains(line.text("replica"))
+            && (first - NEWS_BEFORE_MS..=last).contains(&line.at_ms)
+    });
+    let configurations = origins.iter().filter_map(|origin| {
+        let put = lines.iter().filter(|line| {
+            line.event == "configuration" && line.origin == **origin && line.at_ms <= first
+        });
+        put.max_by_key(|line| line.at_ms)
+    });
+    let mut told = own.iter().copied().chain(news).chain(configurations);
+    let mut told = told.by_ref().map(|line| Moment {
+        since_ms: line.at_ms - first,
+        line: line.clone(),
+    });
+    let mut told = told.by_ref().collect::<Vec<_>>();
+    told.sort_by_key(|moment| moment.since_ms);
+    told
+}
+
+impl Line {
+    fn text(&self, name: &str) -> &str {
+        let value = self.fields.get(name).and_then(Value::as_str);
+        value.unwrap_or_default()
+    }
+
+    /// Replicas that the line names.
+    fn replicas(&self) -> impl Iterator<Item = &str> {
+        let helpers = self.text("helpers").split(',');
+        let all = helpers.chain([self.text("replica")]);
+        all.filter(|id| !id.is_empty())
+    }
+}
+
+impl Display for Moment {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Line {
+            origin,
+            event,
+            fields,
+            ..
+        } = &self.line;
+        write!(f, "{:>+8} ms  {origin:<22} {event:<16}", self.since_ms)?;
+        for (name, value) in fields.iter().filter(|(name, _)| *name != "request") {
+            match value {
+                Value::String(text) if text.is_empty() => {}
+                Value::String(text) => write!(f, " {name}={text}")?,
+                Value::Number(number) => match number.as_f64().filter(|n| n.fract() != 0.0) {
+                    Some(fraction) => write!(f, " {name}={fraction:.1}")?,
+                    None => write!(f, " {name}={number}")?,
+                },
+                other => write!(f, " {name}={other}")?,
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/explain/tests/story.rs
@@ -0,0 +1,100 @@
+//! Stories are whole, in order, and hold nothing of other requests.
+
+use briarhall_explain::read_lines;
+use briarhall_explain::story;
+
+fn line(second: &str, vm: &str, kv: &str) -> String {
+    format!(
+        "{second} {vm} {{\"level\":\"INFO\",\"timestamp\":\"2026-07-10 05:24:{second} +00:00\",\"kv\":{{{kv}}}}}\n"
+    )
+}
+
+fn logs() -> String {
+    [
+        line(
+            "01.000000",
+            "vm-1",
+            r#""event":"configuration","version":7"#,
+        ),
+        line(
+            "02.000000",
+            "vm-1",
+            r#""event":"replica","replica":"i-1","belief":"ready""#,
+        ),
+        line(
+            "03.100000",
+            "vm-2",
+            r#""event":"refused","request":"r-2","reason":"no_route""#,
+        ),
+        line(
+            "03.000000",
+            "vm-1",
+            r#""event":"placed","request":"r-1","replica":"i-1","helpers":"i-2,i-3""#,
+        ),
+        line(
+            "04.500000",
+            "vm-1",
+            r#""event":"replica","replica":"i-3","belief":"gone""#,
+        ),
+        line(
+            "04.600000",
+            "vm-1",
+            r#""event":"replica","replica":"i-9","belief":"gone""#,
+        ),
+        line(
+            "05.000000",
+            "vm-1",
+            r#""event":"stream_broken","request":"r-1","replica":"i-1""#,
+        ),
+        line(
+            "05.250000",
+            "vm-1",
+            r#""event":"ended","request":"r-1","outcome":"broken""#,
+        ),
+        line(
+            "09.000000",
+            "vm-1",
+            r#""event":"configuration","version":9"#,
+        ),
+        "not a log line\n".to_owned(),
+        "{\"half\": \n".to_owned(),
+    ]
+    .concat()
+}
+
+#[test]
+fn a_story_holds_what_decided_it_in_order() {
+    let lines = read_lines(&logs(), "file");
+    let told = story("r-1", &lines);
+    let events = told.iter().map(|m| (m.since_ms, m.line.event.as_str()));
+    let wanted = [
+        (-2_000, "configuration"),
+        (-1_000, "replica"),
+        (0, "placed"),
+        (1_500, "replica"),
+        (2_000, "stream_broken"),
+        (2_250, "ended"),
+    ];
+    assert_eq!(events.collect::<Vec<_>>(), wanted);
+    assert_eq!(
+        told[3].line.fields["replica"], "i-3",
+        "a helper of the request"
+    );
+}
+
+#[test]
+fn nobody_else_is_in_it() {
+    let lines = read_lines(&logs(), "file");
+    let told = story("r-2", &lines);
+    assert_eq!(told.len(), 1);
+    assert_eq!(told[0].line.origin, "vm-2");
+    assert!(story("r-3", &lines).is_empty());
+}
+
+#[test]
+fn a_moment_reads_as_one_line() {
+    let lines = read_lines(&logs(), "file");
+    let text = story("r-1", &lines)[5].to_string();
+    assert!(text.contains("+2250 ms"), "{text}");
+    assert!(text.contains("outcome=broken"), "{text}");
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -244,6 +244,11 @@
         let budget = state.budget(&job.service, &self.shared.settings);
         let may = budget.spend(gateways, Instant::now());
         drop(state);
+        self.shared.metrics.count(if may {
+            "repeat_allowed"
+        } else {
+            "repeat_denied"
+        });
         if !may {
             log::info!(
                 event = "no_budget",
@@ -315,7 +320,12 @@
         };
         let parts = helpers.iter().map(|h| work(&h.id)).collect::<Vec<_>>();
         let placed = Placed::new(&self.shared, &mut state, first, &parts);
+        let registry = state.replicas.revision();
+        let gateways = state.peers.up(now).count() + 1;
         drop(state);
+        self.shared.metrics.count("request_placed");
+        let waited = job.arrived.elapsed();
+        self.shared.metrics.time("request_waited", waited);
         let names = helpers.iter().map(|h| h.id.as_str()).collect::<Vec<_>>();
         let names = names.join(",");
         log::info!(
@@ -324,6 +334,9 @@
             route = job.route.name.as_str(),
             replica = replica.id.as_str(),
             helpers = names.as_str(),
+            configuration = job.configuration,
+            registry,
+            gateways,
             tokens = job.head.prompt_tokens.unwrap_or(0),
             part_ms = plan.part_ms,
             predicted_ms = plan.predicted_ms,
--- a/crates/gateway/src/client_request.rs
+++ b/crates/gateway/src/client_request.rs
@@ -61,11 +61,11 @@
             Ok(head) => {
                 let id = head.id.clone();
                 let served = self.serve(arrived, parts, head, body).await;
-                served.inspect_err(|e| refuse(&id, e, arrived))
+                served.inspect_err(|e| self.refuse(&id, e, arrived))
             }
             Err(problem) => {
                 let e = GiveUp::Head(problem);
-                refuse("", &e, arrived);
+                self.refuse("", &e, arrived);
                 Err(e)
             }
         };
@@ -114,6 +114,7 @@
             uri: parts.uri,
             headers: parts.headers,
             body,
+            configuration: table.version(),
             engine: table.engine(&service).cloned(),
             service,
             route,
@@ -129,6 +130,27 @@
         }
     }
 
+    fn refuse(&self, id: &str, e: &GiveUp, arrived: Instant) {
+        let shared = &self.sender.shared;
+        let in_force = shared
+            .state()
+            .in_force
+            .as_ref()
+            .map(|held| held.table.version());
+        shared
+            .metrics
+            .count(&format!("request_refused_{}", e.reason()));
+        log::info!(
+            event = "refused",
+            request = id,
+            reason = e.reason(),
+            status = e.status().as_u16(),
+            configuration = in_force.unwrap_or(0),
+            total_ms = elapsed_ms(arrived);
+            "refused"
+        );
+    }
+
     fn admit(&self, head: &RequestHead, path: &str) -> Result<Admitted, GiveUp> {
         let state = self.sender.shared.state();
         let in_force = state.in_force.as_ref().ok_or(GiveUp::NotReady)?;
@@ -167,14 +189,3 @@
         headers.remove(name);
     }
 }
-
-fn refuse(id: &str, e: &GiveUp, arrived: Instant) {
-    log::info!(
-        event = "refused",
-        request = id,
-        reason = e.reason(),
-        status = e.status().as_u16(),
-        total_ms = elapsed_ms(arrived);
-        "refused"
-    );
-}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -44,6 +44,7 @@
 pub async fn send(shared: Arc<Shared>, socket: UdpSocket, asked: Receiver<()>) {
     loop {
         let (text, to) = compose(&shared);
+        shared.metrics.count("heartbeat_sent");
         for address in to {
             if let Err(e) = socket.send_to(&text, address).await {
                 log::debug!(to = address.to_string().as_str(), error = e.to_string().as_str(); "cannot send a heartbeat");
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -7,6 +7,7 @@
 use briarhall_policy::engine;
 use briarhall_policy::placement::Prompt;
 use briarhall_policy::placement::Urgency;
+use briarhall_types::ConfigurationVersion;
 use briarhall_types::EngineSpec;
 use briarhall_types::Organisation;
 use briarhall_types::Route;
@@ -50,6 +51,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// Version of the configuration that admitted it.
+    pub configuration: ConfigurationVersion,
     /// Route that it takes.
     pub route: Arc<Route>,
     /// Service that the route chose for it.
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -74,6 +74,7 @@
                         if failed && sends.allow_another(job, true) {
                             true
                         } else {
+                            sender.shared.metrics.time("request", job.arrived.elapsed());
                             log_end(job, id, parts.status.as_u16(), &sends);
                             return Ok(pass_on(parts, body));
                         }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -13,6 +13,7 @@
 use briarhall_net::HttpClient;
 use briarhall_net::LogTarget;
 use briarhall_net::Logging;
+use briarhall_net::MetricsService;
 use briarhall_net::ServerOptions;
 use briarhall_net::SessionLimits;
 use briarhall_net::Sessions;
@@ -95,6 +96,10 @@
     if let Some(address) = settings.directory {
         serve_on(&executor, "directory", address, directory)?;
     }
+    if let Some(address) = settings.metrics {
+        let metrics = shared.metrics.clone();
+        serve_on(&executor, "metrics", address, MetricsService { metrics })?;
+    }
     let (end_sessions, end) = async_channel::bounded(1);
     let sessions = Sessions::new(
         executor.clone(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use briarhall_net::Metrics;
 use briarhall_net::Sessions;
 use briarhall_policy::board::Board;
 use briarhall_policy::board::Work;
@@ -81,6 +82,8 @@
 pub struct Shared {
     /// Settings of the process.
     pub settings: Settings,
+    /// Counters and latencies.
+    pub metrics: Metrics,
     /// Drawn at the start.
     pub incarnation: Incarnation,
     state: Mutex<State>,
@@ -109,6 +112,7 @@
         };
         let shared = Self {
             settings,
+            metrics: Metrics::kept("briarhall.gateway"),
             incarnation: rand::random(),
             state: Mutex::new(state),
             tell_peers,
@@ -168,6 +172,7 @@
             return;
         }
         let version = configuration.version;
+        self.metrics.count("configuration_changed");
         log::info!(event = "configuration", version, revision, source; "configuration in force");
         let table = Arc::new(RouteTable::new(configuration.clone()));
         if let Some(sessions) = self.sessions.get() {
@@ -310,6 +315,7 @@
 
 /// Notes what happened at a replica.
 pub fn note_outcome(shared: &Shared, id: &ReplicaId, outcome: Outcome) {
+    shared.metrics.count(outcome.metric());
     shared.state().health.note(id, outcome, Instant::now());
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -269,6 +269,8 @@
 
     async fn run(mut self, source: Source<W>, first: Next, tx: BodySender) {
         let ends = self.job.ends;
+        let metrics = self.sender.shared.metrics.clone();
+        metrics.time("stream_first_event", self.job.arrived.elapsed());
         let first_ms = elapsed_ms(self.job.arrived);
         let ended = {
             let left = async {
@@ -282,6 +284,8 @@
             let events = pin!(self.events(source, first, &tx));
             future::or(events, future::or(left, over)).await
         };
+        metrics.time("stream", self.job.arrived.elapsed());
+        metrics.count(&format!("stream_{}", ended.as_str()));
         log::info!(
             event = "ended",
             request = self.job.head.id.as_str(),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -34,6 +34,7 @@
 pub use logging::Logging;
 pub use metrics::Metrics;
 pub use metrics::MetricsError;
+pub use metrics::MetricsService;
 pub use reply::event;
 pub use reply::json;
 pub use reply::problem;
--- a/crates/net/src/metrics.rs
+++ b/crates/net/src/metrics.rs
@@ -1,9 +1,14 @@
-//! Metrics as `StatsD` datagrams.
+//! Counters, levels and latency histograms: sent as `StatsD` datagrams, kept
+//! for whoever reads them over HTTP, or both.
 
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
 use std::io;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use cadence::Counted;
@@ -13,8 +18,25 @@
 use cadence::StatsdClient;
 use cadence::Timed;
 use cadence::UdpMetricSink;
+use compact_str::CompactString;
+use hdrhistogram::Histogram;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
 use thiserror::Error;
 
+use crate::Body;
+use crate::Handler;
+
+/// Digits of a latency that a histogram keeps; enough to tell 100 ms from
+/// 101 ms.
+const DIGITS: u8 = 2;
+/// Longest latency that a histogram keeps, in milliseconds: ten minutes.
+const LONGEST_MS: u64 = 600_000;
+/// Quantiles that are served.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 1.0];
+
 /// Says why metrics could not start.
 #[derive(Debug, Error)]
 #[error("cannot open a socket for metrics to {address}: {source}; check `metrics_address`")]
@@ -23,14 +45,22 @@
     source: io::Error,
 }
 
-/// Sends metrics, or drops them when no address is set.
+/// Takes metrics.
 #[derive(Debug, Clone)]
 pub struct Metrics {
     client: Arc<StatsdClient>,
+    kept: Option<Arc<Mutex<Kept>>>,
+}
+
+#[derive(Debug, Default)]
+struct Kept {
+    counts: BTreeMap<CompactString, u64>,
+    levels: BTreeMap<CompactString, u64>,
+    times: BTreeMap<CompactString, Histogram<u64>>,
 }
 
 impl Metrics {
-    /// Creates a sender with a name prefix.
+    /// Creates a sender with a name prefix; without an address it drops them.
     ///
     /// # Errors
     ///
@@ -49,22 +79,97 @@
         };
         Ok(Self {
             client: Arc::new(client),
+            kept: None,
         })
     }
 
+    /// Creates one that keeps metrics for [`MetricsService`].
+    #[must_use]
+    pub fn kept(prefix: &str) -> Self {
+        Self {
+            client: Arc::new(StatsdClient::from_sink(prefix, NopMetricSink)),
+            kept: Some(Arc::default()),
+        }
+    }
+
     /// Counts one occurrence.
     pub fn count(&self, name: &str) {
+        self.keep(|kept| *kept.counts.entry(name.into()).or_default() += 1);
         // A lost datagram is a lost sample, nothing more.
         let _lost = self.client.count(name, 1);
     }
 
     /// Reports a level.
     pub fn gauge(&self, name: &str, value: u64) {
+        self.keep(|kept| {
+            kept.levels.insert(name.into(), value);
+        });
         let _lost = self.client.gauge(name, value);
     }
 
     /// Reports a duration.
+    ///
+    /// # Panics
+    ///
+    /// Never, as long as the bounds of a histogram are those of this module.
     pub fn time(&self, name: &str, duration: Duration) {
+        self.keep(|kept| {
+            let ms = u64::try_from(duration.as_millis()).unwrap_or(LONGEST_MS);
+            let times = kept.times.entry(name.into()).or_insert_with(|| {
+                Histogram::new_with_max(LONGEST_MS, DIGITS).expect("the bounds are valid")
+            });
+            times.saturating_record(ms);
+        });
         let _lost = self.client.time(name, duration);
     }
+
+    fn keep<F>(&self, change: F)
+    where
+        F: FnOnce(&mut Kept),
+    {
+        if let Some(kept) = &self.kept {
+            change(&mut kept.lock().unwrap_or_else(PoisonError::into_inner));
+        }
+    }
+
+    /// Returns what was kept, one metric a line.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let Some(kept) = &self.kept else {
+            return text;
+        };
+        let kept = kept.lock().unwrap_or_else(PoisonError::into_inner);
+        // Writing to memory does not fail.
+        for (name, count) in &kept.counts {
+            let _written = writeln!(text, "{name}_total {count}");
+        }
+        for (name, level) in &kept.levels {
+            let _written = writeln!(text, "{name} {level}");
+        }
+        for (name, times) in &kept.times {
+            for quantile in QUANTILES {
+                let ms = times.value_at_quantile(quantile);
+                let _written = writeln!(text, "{name}_ms{{quantile=\"{quantile}\"}} {ms}");
+            }
+            let _written = writeln!(text, "{name}_ms_count {}", times.len());
+        }
+        text
+    }
+}
+
+/// Serves metrics as text.
+#[derive(Debug, Clone)]
+pub struct MetricsService {
+    /// Where they are kept.
+    pub metrics: Metrics,
+}
+
+impl Handler for MetricsService {
+    async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        if req.uri().path() == "/metrics" {
+            return Response::new(Body::whole(self.metrics.text()));
+        }
+        crate::status(StatusCode::NOT_FOUND)
+    }
 }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -36,6 +36,19 @@
 }
 
 impl Outcome {
+    /// Returns the name of its counter.
+    #[must_use]
+    pub fn metric(self) -> &'static str {
+        match self {
+            Self::Answered => "send_answered",
+            Self::Failed => "send_failed",
+            Self::Refused => "send_refused",
+            Self::Broken => "send_broken",
+            Self::Silent => "send_silent",
+            Self::Unreachable => "send_unreachable",
+        }
+    }
+
     fn penalty(self) -> f64 {
         match self {
             Self::Answered => 0.0,
