--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -50,9 +50,12 @@
 /// Time to write an answer after its first event, in milliseconds: twenty
 /// events of one pass each.
 const TO_WRITE_MS: f64 = 1_500.0;
+/// Longest part, against the pause that callers of such prompts accept. Waiting
+/// for more engines leaves those that are free idle.
+const LONGEST_PART: f64 = 1.5;
 /// Cost of one more part, against a short prompt's worth: another engine that
 /// may fail, and a step of its own.
-const PART_COST: f64 = 0.05;
+const PART_COST: f64 = 0.02;
 /// Added to what a helper holds, for rounding to blocks.
 const PART_SLACK_TOKENS: u64 = 64;
 
@@ -312,10 +315,10 @@
     if urgency == Urgency::Last {
         return Ok(plan);
     }
-    // A part must fit into the pause that callers of such prompts accept, or
-    // it takes all engines there are.
+    // A part must not hold an engine up for much longer than callers of such
+    // prompts accept to pause, or it takes all engines there are.
     let parts = plan.helpers.len() + 1;
-    if plan.part_ms > prompt.pause_ms * MARGIN && parts < most_parts(lane_size) {
+    if plan.part_ms > prompt.pause_ms * LONGEST_PART && parts < most_parts(lane_size) {
         return Err(NoPlace::Full);
     }
     let worth = worth(prompt.tokens);
