--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -35,6 +35,9 @@
 /// Part of its time after which a waiting prompt goes before others; what is
 /// left is enough to read and write it.
 const TURN_AFTER: f64 = 0.55;
+/// Slack below which a waiting prompt is sent at a cost to others, in
+/// milliseconds: a few looks at the line.
+const PRESSING_MS: f64 = 300.0;
 /// Output assumed where the request states none, in tokens.
 const DEFAULT_OUTPUT: u64 = 1_000;
 
@@ -134,10 +137,12 @@
     pub fn urgency(&self, spec: &EngineSpec, prompt: &Prompt) -> Urgency {
         if self.turn_ms() < 0.0 {
             Urgency::Last
-        } else if self.slack_ms(spec, prompt) > 0.0 {
-            Urgency::CanWait
         } else {
-            Urgency::Late
+            match self.slack_ms(spec, prompt) {
+                slack if slack > PRESSING_MS => Urgency::CanWait,
+                slack if slack > 0.0 => Urgency::Pressing,
+                _ => Urgency::Late,
+            }
         }
     }
 
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -44,9 +44,6 @@
 const FREE_BACKLOG_MS: f64 = 80.0;
 /// Penalty below which a replica counts as sound.
 const SOUND: f64 = 0.5;
-/// Harm, against the prompt's own worth, for which a prompt that has time
-/// rather waits.
-const HARM_TO_WAIT_FOR: f64 = 0.25;
 /// Time to write an answer after its first event, in milliseconds: twenty
 /// events of one pass each.
 const TO_WRITE_MS: f64 = 1_500.0;
@@ -276,12 +273,26 @@
 pub enum Urgency {
     /// It can still meet its objective later.
     CanWait,
-    /// Waiting makes it later.
+    /// It meets its objective only if it is sent now.
+    Pressing,
+    /// It misses its objective.
     Late,
     /// It has waited so long that it must run now or never.
     Last,
 }
 
+impl Urgency {
+    /// Part of a prompt's worth that sending it now is worth more than sending
+    /// it later: a late answer keeps about a quarter.
+    fn gain(self) -> f64 {
+        match self {
+            Self::CanWait | Self::Late => 0.25,
+            Self::Pressing => 0.75,
+            Self::Last => 0.5,
+        }
+    }
+}
+
 /// Chooses engines for the long prompt that is first in line.
 ///
 /// # Errors
@@ -312,6 +323,9 @@
     if plan.predicted_ms + TO_WRITE_MS > prompt.deadline_ms {
         return Err(NoPlace::Full);
     }
+    if best.harm > worth(prompt.tokens) * urgency.gain() {
+        return Err(NoPlace::Full);
+    }
     if urgency == Urgency::Last {
         return Ok(plan);
     }
@@ -321,14 +335,8 @@
     if plan.part_ms > prompt.pause_ms * LONGEST_PART && parts < most_parts(lane_size) {
         return Err(NoPlace::Full);
     }
-    let worth = worth(prompt.tokens);
     let too_slow = plan.predicted_ms > prompt.objective_ms * MARGIN;
-    let waits_for = if urgency == Urgency::CanWait {
-        HARM_TO_WAIT_FOR
-    } else {
-        1.0
-    };
-    if best.harm > worth * waits_for || too_slow && urgency == Urgency::CanWait {
+    if too_slow && urgency == Urgency::CanWait {
         return Err(NoPlace::Full);
     }
     Ok(plan)
