--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod error;
 mod gossip;
 mod job;
+mod place;
 mod plain;
 mod relay;
 mod replica_watch;
--- /dev/null
+++ b/crates/gateway/src/place.rs
@@ -0,0 +1,357 @@
+//! A place for a request: which replicas, and when.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use briarhall_policy::board::Phase;
+use briarhall_policy::board::Work;
+use briarhall_policy::board::tag;
+use briarhall_policy::engine;
+use briarhall_policy::line::Waiter;
+use briarhall_policy::placement;
+use briarhall_policy::placement::Candidate;
+use briarhall_policy::placement::Length;
+use briarhall_policy::placement::NoPlace;
+use briarhall_policy::placement::Plan;
+use briarhall_policy::rendezvous;
+use briarhall_types::ReplicaId;
+use briarhall_types::ReplicaRecord;
+use briarhall_types::Revision;
+
+use crate::answer::GiveUp;
+use crate::attempt::Sender;
+use crate::attempt::Sends;
+use crate::attempt::elapsed_ms;
+use crate::job::Job;
+use crate::reservation::Reservation;
+use crate::state::InLine;
+use crate::state::Placed;
+use crate::state::State;
+use crate::wire::Helper;
+use crate::wire::Wire;
+
+/// Time between two looks for a free place.
+const LOOK_AGAIN: Duration = Duration::from_millis(8);
+/// Part of a request's time for which it waits for a place; after that it is
+/// better off with another gateway, or later.
+const PATIENCE: f64 = 0.3;
+/// The same for a long prompt, whose place in line would be lost.
+const LONG_PATIENCE: f64 = 0.7;
+/// Part of the engines that long prompts have on a busy day.
+const LONG_LANE: f64 = 0.8;
+/// Part of its time left that a long prompt can wait and still be answered.
+const LONGEST_WAIT: f64 = 0.45;
+/// A send with a place on the board.
+#[derive(Debug)]
+pub struct Place<W>
+where
+    W: Wire,
+{
+    /// Where it goes.
+    pub replica: ReplicaRecord,
+    /// Other replicas that read a part.
+    pub helpers: Vec<Helper>,
+    /// Predicted time to the first event, in milliseconds.
+    pub predicted_ms: f64,
+    /// Keeps it on the board.
+    pub placed: Placed,
+    /// Tokens that each helper holds.
+    held_tokens: u64,
+    reservation: Option<Reservation<W>>,
+}
+
+impl<W> Sender<W>
+where
+    W: Wire,
+{
+    /// Waits for a place.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer for the client when there is none in time.
+    pub async fn place(&self, job: &Job, sends: &Sends, written: u64) -> Result<Place<W>, GiveUp> {
+        if sends.any() && !self.may_repeat(job) {
+            return Err(sends.last_word());
+        }
+        if let Some(wait) = self.line_too_long(job, written) {
+            log::info!(
+                event = "line_too_long",
+                request = job.head.id.as_str(),
+                service = job.service.as_str(),
+                predicted_wait_ms = wait.as_millis();
+                "line too long"
+            );
+            return Err(sends.last_word().come_back_in(wait));
+        }
+        let in_line = self.join_line(job, written);
+        let patience = if in_line.is_some() {
+            LONG_PATIENCE
+        } else {
+            PATIENCE
+        };
+        let until = (job.arrived + job.whole().mul_f64(patience)).min(job.ends);
+        loop {
+            let reason = match self.try_place(job, sends, written, in_line.as_ref()) {
+                Ok(place) => match self.reserve(job, place).await {
+                    Some(place) => return Ok(place),
+                    None => NoPlace::Full,
+                },
+                Err(reason) => reason,
+            };
+            if reason == NoPlace::TooLarge || Instant::now() + LOOK_AGAIN >= until {
+                log::info!(
+                    event = "no_place",
+                    request = job.head.id.as_str(),
+                    service = job.service.as_str(),
+                    reason = reason.to_string().as_str(),
+                    waited_ms = elapsed_ms(job.arrived);
+                    "no place"
+                );
+                return Err(sends.last_word());
+            }
+            Timer::after(LOOK_AGAIN).await;
+        }
+    }
+
+    /// Returns how long a prompt would wait in line, when that is more than it
+    /// can: its client is better off coming back.
+    fn line_too_long(&self, job: &Job, written: u64) -> Option<Duration> {
+        let spec = job.engine.as_ref()?;
+        let prompt = job.prompt(written);
+        if placement::length(spec, &prompt) != Length::Long {
+            return None;
+        }
+        let state = self.shared.state();
+        let engines = state.replicas.usable();
+        let engines = engines.filter(|record| record.service == job.service);
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "counts of replicas are far below 2^52"
+        )]
+        let engines = engines.count().max(1) as f64 * LONG_LANE;
+        let work = state.line.work_ms(tag(job.service.as_str()));
+        drop(state);
+        let own = engine::read_ms(spec, prompt.tokens, 1);
+        let wait = Duration::from_secs_f64((work + own) / engines / 1_000.0);
+        (wait > job.left().mul_f64(LONGEST_WAIT)).then_some(wait)
+    }
+
+    /// Puts a long prompt in line.
+    fn join_line(&self, job: &Job, written: u64) -> Option<InLine> {
+        let spec = job.engine.as_ref()?;
+        let prompt = job.prompt(written);
+        if placement::length(spec, &prompt) != Length::Long {
+            return None;
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "times in milliseconds need no more digits"
+        )]
+        let waiter = Waiter {
+            id: rendezvous::weight("request", job.head.id.as_str()),
+            service: tag(job.service.as_str()),
+            priority: job.rank(),
+            slack_ms: job.slack_ms(spec, &prompt) as f32,
+            turn_ms: job.turn_ms() as f32,
+            read_ms: engine::read_ms(spec, prompt.tokens, 1) as f32,
+        };
+        Some(InLine::new(&self.shared, waiter))
+    }
+
+    fn may_repeat(&self, job: &Job) -> bool {
+        let mut state = self.shared.state();
+        let gateways = state.gateways();
+        let budget = state.budget(&job.service, &self.shared.settings);
+        let may = budget.spend(gateways, Instant::now());
+        drop(state);
+        self.shared.metrics.count(if may {
+            "repeat_allowed"
+        } else {
+            "repeat_denied"
+        });
+        if !may {
+            log::info!(
+                event = "no_budget",
+                request = job.head.id.as_str(),
+                service = job.service.as_str(),
+                gateways;
+                "no budget to send again"
+            );
+        }
+        may
+    }
+
+    fn try_place(
+        &self,
+        job: &Job,
+        sends: &Sends,
+        written: u64,
+        in_line: Option<&InLine>,
+    ) -> Result<Place<W>, NoPlace> {
+        let now = Instant::now();
+        let mut state = self.shared.state();
+        if in_line.is_some_and(|in_line| !in_line.is_first(&state, now)) {
+            return Err(NoPlace::Full);
+        }
+        let candidates = candidates(&state, job, sends, &self.shared.settings.zone, now);
+        let plan = choose(job, written, &candidates)?;
+        let record = |id: &ReplicaId| state.replicas.get(id).cloned();
+        let replica = record(&plan.first).ok_or(NoPlace::NoReplica)?;
+        let helpers = plan.helpers.iter().filter_map(record);
+        let helpers = helpers.collect::<Vec<_>>();
+        let first = first_work(job, written, &plan);
+        let parts = plan.helpers.iter().map(|id| part_work(id, &plan));
+        let parts = parts.collect::<Vec<_>>();
+        let placed = Placed::new(&self.shared, &mut state, first, &parts);
+        let known = Known {
+            registry: state.replicas.revision(),
+            gateways: state.peers.up(now).count() + 1,
+        };
+        drop(state);
+        self.note_placed(job, &plan, &known);
+        let helpers = helpers.iter().map(|record| Helper {
+            address: record.address,
+            ticket: None,
+        });
+        Ok(Place {
+            helpers: helpers.collect(),
+            replica,
+            predicted_ms: plan.predicted_ms,
+            placed,
+            held_tokens: plan.part_tokens,
+            reservation: None,
+        })
+    }
+
+    fn note_placed(&self, job: &Job, plan: &Plan<ReplicaId>, known: &Known) {
+        let metrics = &self.shared.metrics;
+        metrics.count("request_placed");
+        metrics.time("request_waited", job.arrived.elapsed());
+        let helpers = plan.helpers.join(",");
+        log::info!(
+            event = "placed",
+            request = job.head.id.as_str(),
+            route = job.route.name.as_str(),
+            replica = plan.first.as_str(),
+            helpers = helpers.as_str(),
+            configuration = job.configuration,
+            registry = known.registry,
+            gateways = known.gateways,
+            tokens = job.head.prompt_tokens.unwrap_or(0),
+            part_ms = plan.part_ms,
+            predicted_ms = plan.predicted_ms,
+            waited_ms = elapsed_ms(job.arrived);
+            "placed"
+        );
+    }
+
+    /// Sets memory aside at the helpers of a place, where the plan needs it.
+    /// Returns nothing when they do not grant it.
+    async fn reserve(&self, job: &Job, mut place: Place<W>) -> Option<Place<W>> {
+        if place.held_tokens > 0 {
+            let reservation = Reservation::take(
+                self.wire.clone(),
+                self.client.clone(),
+                self.executor.clone(),
+                &mut place.helpers,
+                place.held_tokens,
+                &job.head.id,
+            );
+            place.reservation = Some(reservation.await?);
+        }
+        Some(place)
+    }
+}
+
+/// What a gateway knew when it chose.
+struct Known {
+    registry: Revision,
+    gateways: usize,
+}
+
+fn choose(
+    job: &Job,
+    written: u64,
+    candidates: &[Candidate<ReplicaId>],
+) -> Result<Plan<ReplicaId>, NoPlace> {
+    let Some(spec) = &job.engine else {
+        return Ok(Plan {
+            first: placement::call(candidates)?,
+            helpers: Vec::new(),
+            part_ms: 0.0,
+            part_tokens: 0,
+            predicted_ms: 0.0,
+        });
+    };
+    let prompt = job.prompt(written);
+    match placement::length(spec, &prompt) {
+        Length::Short => placement::short(spec, &prompt, candidates),
+        Length::Medium => placement::medium(spec, &prompt, candidates),
+        Length::Long => {
+            let urgency = job.urgency(spec, &prompt);
+            placement::long(spec, &prompt, urgency, candidates)
+        }
+    }
+}
+
+/// The work of the replica that answers.
+fn first_work(job: &Job, written: u64, plan: &Plan<ReplicaId>) -> Work {
+    if job.engine.is_none() {
+        return Work {
+            phase: Phase::Call,
+            ..part_work(&plan.first, plan)
+        };
+    }
+    let prompt = job.prompt(written);
+    let tokens = prompt.tokens + prompt.max_output;
+    let pause_ms = u32::try_from(job.pause().as_millis()).unwrap_or(u32::MAX);
+    Work {
+        kv_tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+        pause_ms: Some(pause_ms),
+        ..part_work(&plan.first, plan)
+    }
+}
+
+/// The work of a replica that reads a part.
+fn part_work(id: &ReplicaId, plan: &Plan<ReplicaId>) -> Work {
+    Work {
+        replica: tag(id.as_str()),
+        phase: Phase::Reads,
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "a time in milliseconds needs no more digits"
+        )]
+        read_ms: plan.part_ms as f32,
+        kv_tokens: u32::try_from(plan.part_tokens).unwrap_or(u32::MAX),
+        pause_ms: None,
+        age_ms: 0,
+    }
+}
+
+fn candidates(
+    state: &State,
+    job: &Job,
+    sends: &Sends,
+    zone: &str,
+    now: Instant,
+) -> Vec<Candidate<ReplicaId>> {
+    let loads = state.board.loads(now);
+    let of_service = state.replicas.usable();
+    let of_service = of_service.filter(|record| record.service == job.service);
+    let candidate = |record: &ReplicaRecord| Candidate {
+        key: record.id.clone(),
+        order: rendezvous::weight(job.service.as_str(), record.id.as_str()),
+        slots: usize::try_from(record.slots).unwrap_or(usize::MAX),
+        load: loads
+            .get(&tag(record.id.as_str()))
+            .cloned()
+            .unwrap_or_default(),
+        penalty: state.health.penalty(&record.id, now),
+        near: record.zone == zone,
+    };
+    let all = of_service.map(candidate).collect::<Vec<_>>();
+    let untried = all.iter().filter(|c| !sends.tried.contains(&c.key));
+    let untried = untried.cloned().collect::<Vec<_>>();
+    if untried.is_empty() { all } else { untried }
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -23,12 +23,12 @@
 use hyper::http::response;
 
 use crate::answer::GiveUp;
-use crate::attempt::Place;
 use crate::attempt::Sender;
 use crate::attempt::Sends;
 use crate::attempt::Sent;
 use crate::attempt::elapsed_ms;
 use crate::job::Job;
+use crate::place::Place;
 use crate::plain::last_word;
 use crate::sse::Event;
 use crate::sse::EventSplitter;
--- /dev/null
+++ b/crates/policy/src/placement/cost.rs
@@ -0,0 +1,87 @@
+//! What a prompt costs a replica, and those who write there.
+
+use briarhall_types::EngineSpec;
+
+use super::Candidate;
+use super::MARGIN;
+use crate::board::Writer;
+use crate::engine::write_pass_ms;
+
+/// Part of an engine's memory that is used; the rest is for answers that grow
+/// longer than was asked for.
+const KV_FILL: f64 = 0.95;
+
+pub(super) fn has_slot<K>(candidate: &Candidate<K>) -> bool {
+    candidate.load.requests < candidate.slots
+}
+
+/// What a prompt is worth against a short one: callers of long ones have
+/// waited longer for what they need, and their work costs more to repeat.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts are far below 2^52"
+)]
+pub(super) fn worth(tokens: u64) -> f64 {
+    1.0 + tokens as f64 / 10_000.0
+}
+
+/// Returns whether a candidate's memory has room for `tokens` more.
+pub(super) fn fits<K>(spec: &EngineSpec, tokens: u64, candidate: &Candidate<K>) -> bool {
+    holds(spec, candidate.load.kv_tokens + tokens)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts are far below 2^52"
+)]
+pub(super) fn holds(spec: &EngineSpec, tokens: u64) -> bool {
+    tokens as f64 <= spec.kv_tokens as f64 * KV_FILL
+}
+
+pub(super) fn filled<K>(candidate: &Candidate<K>) -> f64 {
+    ratio(candidate.load.requests, candidate.slots.max(1))
+}
+
+/// Duration of the next pass when `read` more is read in it.
+pub(super) fn pass_ms<K>(spec: &EngineSpec, candidate: &Candidate<K>, read: f64) -> f64 {
+    let load = &candidate.load;
+    write_pass_ms(spec, load.writers.len(), load.kv_tokens) + load.backlog_ms + read
+}
+
+/// Time to the first event: half of the pass that runs, then what waits, then
+/// the own part and the steps of its pass.
+pub(super) fn first_event_ms<K>(spec: &EngineSpec, candidate: &Candidate<K>, read: f64) -> f64 {
+    let load = &candidate.load;
+    let write = write_pass_ms(spec, load.writers.len(), load.kv_tokens);
+    let running = if load.requests > 0 { write / 2.0 } else { 0.0 };
+    running + load.backlog_ms + read + write
+}
+
+/// Returns whether `read` more would make an event of a writer late.
+pub(super) fn stretched<K>(spec: &EngineSpec, candidate: &Candidate<K>, read: f64) -> bool {
+    let pass = pass_ms(spec, candidate, read);
+    let mut writers = candidate.load.writers.iter();
+    writers.any(|writer| is_late(pass, *writer))
+}
+
+/// Worth of the writers that `read` more would make late, of those that are
+/// not yet.
+pub(super) fn harm<K>(spec: &EngineSpec, candidate: &Candidate<K>, read: f64) -> f64 {
+    let before = pass_ms(spec, candidate, 0.0);
+    let after = pass_ms(spec, candidate, read);
+    let writers = candidate.load.writers.iter();
+    let harmed = writers.filter(|w| is_late(after, **w) && !is_late(before, **w));
+    harmed.map(|w| worth(u64::from(w.tokens))).sum()
+}
+
+pub(super) fn is_late(pass: f64, writer: Writer) -> bool {
+    pass > f64::from(writer.pause_ms) * MARGIN
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of replicas are far below 2^52"
+)]
+pub(super) fn ratio(a: usize, b: usize) -> f64 {
+    a as f64 / b.max(1) as f64
+}
