A silent engine is left while the client still waits; waiting is measured against the client's own patience

Cause: a short prompt's client leaves after 2 s without an event; the gateway took an engine for silent after 3 s, so nothing could take over. A prompt waited for up to 0.7 of its deadline, when its client leaves after four objectives.

What: silence before the first event is 0.45 of the client's patience (three times the prediction if longer), between events 0.6. Patience, turn and wait count from that patience too; the turn comes at 0.65, the end of waiting at 0.8.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -25,6 +25,12 @@
 const DEFAULT_OBJECTIVE: Duration = Duration::from_secs(1);
 /// Acceptable pause of a route that states none.
 const DEFAULT_PAUSE: Duration = Duration::from_secs(1);
+/// A client waits at least so long for an event.
+const LEAST_STREAM_PATIENCE: Duration = Duration::from_secs(2);
+/// A client waits for an event as long as so many of its objectives.
+const OBJECTIVES_OF_PATIENCE: u32 = 4;
+/// A client waits for an event as long as so many acceptable pauses.
+const PAUSES_OF_PATIENCE: u32 = 8;
 /// Time a request may take when neither client nor route states one.
 const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
 /// Engines that share a long prompt on a busy day: half of the most.
@@ -34,7 +40,7 @@
 const OBJECTIVE_USED: f64 = 0.85;
 /// Part of its time after which a waiting prompt goes before others; what is
 /// left is enough to read and write it.
-const TURN_AFTER: f64 = 0.55;
+const TURN_AFTER: f64 = 0.65;
 /// Slack below which a waiting prompt is sent at a cost to others, in
 /// milliseconds: a few looks at the line.
 const PRESSING_MS: f64 = 300.0;
@@ -72,6 +78,20 @@
     pub _in_flight: InFlight,
 }
 
+/// Returns how long a client waits for the first event of a stream, or for the
+/// next one: the longest of three bounds that the platform's clients keep to.
+#[must_use]
+pub fn stream_patience(route: &Route) -> Duration {
+    let objective = route.objective.unwrap_or(DEFAULT_OBJECTIVE);
+    let pause = route.pause_objective.unwrap_or(DEFAULT_PAUSE);
+    let bounds = [
+        LEAST_STREAM_PATIENCE,
+        objective * OBJECTIVES_OF_PATIENCE,
+        pause * PAUSES_OF_PATIENCE,
+    ];
+    bounds.into_iter().max().unwrap_or(LEAST_STREAM_PATIENCE)
+}
+
 /// Returns when a request's time is over.
 #[must_use]
 pub fn ends(head: &RequestHead, route: &Route, arrived: Instant) -> Instant {
@@ -87,10 +107,16 @@
         self.ends.saturating_duration_since(Instant::now())
     }
 
-    /// Returns all the time that the request had.
+    /// Returns all the time that the request had, to its first event where its
+    /// answer is a stream.
     #[must_use]
     pub fn whole(&self) -> Duration {
-        self.ends.saturating_duration_since(self.arrived)
+        let whole = self.ends.saturating_duration_since(self.arrived);
+        if self.route.kind == RouteKind::Streaming {
+            whole.min(stream_patience(&self.route))
+        } else {
+            whole
+        }
     }
 
     /// Returns whether it may be sent again when an earlier send may have run.
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -37,7 +37,7 @@
 /// better off with another gateway, or later.
 const PATIENCE: f64 = 0.3;
 /// The same for a long prompt, whose place in line would be lost.
-const LONG_PATIENCE: f64 = 0.7;
+const LONG_PATIENCE: f64 = 0.8;
 /// Part of the engines that long prompts have on a busy day.
 const LONG_LANE: f64 = 0.8;
 /// Part of its time left that a long prompt can wait and still be answered.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -28,6 +28,7 @@
 use crate::attempt::Sent;
 use crate::attempt::elapsed_ms;
 use crate::job::Job;
+use crate::job::stream_patience;
 use crate::place::Place;
 use crate::plain::last_word;
 use crate::sse::Event;
@@ -35,13 +36,16 @@
 use crate::state::note_outcome;
 use crate::wire::Wire;
 
-/// Shortest silence that counts as a failure: the longest pass of a sound
-/// engine is below it.
-const SHORTEST_SILENCE: Duration = Duration::from_secs(3);
+/// Shortest silence that counts as a failure: the longest pass of an engine that
+/// reads nothing long is far below it.
+const SHORTEST_SILENCE: Duration = Duration::from_millis(600);
 /// Silence before the first event, in predicted times to it.
 const SILENCE_IN_PREDICTIONS: f64 = 3.0;
-/// Silence between events, in acceptable pauses.
-const SILENCE_IN_PAUSES: u32 = 6;
+/// Silence before the first event, against the time for which the client waits:
+/// another engine must still be able to take over.
+const SILENCE_BEFORE: f64 = 0.45;
+/// Silence between events, against the same.
+const SILENCE_BETWEEN: f64 = 0.6;
 /// Kept back to tell the client that its time is over.
 const TO_TELL: Duration = Duration::from_millis(20);
 /// Pause after a replica turned a request away.
@@ -152,8 +156,10 @@
 {
     let left = job.left().saturating_sub(TO_TELL);
     let predicted = Duration::from_secs_f64(place.predicted_ms.max(0.0) / 1_000.0);
+    let patience = stream_patience(&job.route);
     let silence = predicted
         .mul_f64(SILENCE_IN_PREDICTIONS)
+        .max(patience.mul_f64(SILENCE_BEFORE))
         .max(SHORTEST_SILENCE);
     let again = job.repeatable() && sends.may_have_run + 1 < job.route.max_attempts;
     let limit = if again { silence.min(left) } else { left };
@@ -303,8 +309,8 @@
     }
 
     async fn events(&mut self, mut source: Source<W>, first: Next, tx: &BodySender) -> Ended {
-        let pause = self.job.route.pause_objective.unwrap_or(SHORTEST_SILENCE);
-        let silence = (pause * SILENCE_IN_PAUSES).max(SHORTEST_SILENCE);
+        let patience = stream_patience(&self.job.route);
+        let silence = patience.mul_f64(SILENCE_BETWEEN);
         let mut next = first;
         loop {
             match next {
