--- /dev/null
+++ b/crates/policy/benches/placement.rs
@@ -0,0 +1,131 @@
+//! Cost of a gateway's decisions at today's size and beyond: 7 gateways before 21
+//! engines, and what whole lists from everybody would cost at the size of the aim.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use briarhall_policy::board::Board;
+use briarhall_policy::board::Phase;
+use briarhall_policy::board::Work;
+use briarhall_policy::placement;
+use briarhall_policy::placement::Candidate;
+use briarhall_policy::placement::Prompt;
+use briarhall_policy::placement::Urgency;
+use briarhall_types::EngineSpec;
+use compact_str::format_compact;
+use divan::Bencher;
+use divan::black_box;
+
+/// Gateways, with 60 works in flight each: ten a second that last two seconds,
+/// and the parts of some long prompts.
+const GATEWAYS: [u32; 4] = [7, 30, 100, 350];
+const WORKS: u32 = 60;
+/// Engines for each gateway at the size of the aim, about.
+const ENGINES_EACH: u32 = 15;
+
+fn main() {
+    divan::main();
+}
+
+fn spec() -> EngineSpec {
+    EngineSpec {
+        slots: 16,
+        kv_tokens: 405_000,
+        stride: 34,
+        step_ms: 1.31,
+        per_writer_ms: 0.000_917,
+        context_per_k_ms: 0.002_13,
+        read_per_ms: 154.0,
+        pairs_per_m_ms: 0.162,
+        chunk: 2_048,
+    }
+}
+
+fn works(gateway: u32, engines: u32) -> Vec<Work> {
+    let work = |n: u32| Work {
+        replica: (gateway * 31 + n * 7) % engines,
+        phase: if n.is_multiple_of(4) {
+            Phase::Reads
+        } else {
+            Phase::Writes
+        },
+        read_ms: 30.0,
+        kv_tokens: 5_700,
+        pause_ms: Some(250),
+        age_ms: n * 20,
+    };
+    (0..WORKS).map(work).collect()
+}
+
+fn board(gateways: u32, now: Instant) -> Board {
+    let mut board = Board::default();
+    for gateway in 0..gateways {
+        let engines = gateways * ENGINES_EACH;
+        board.told(
+            format_compact!("vm-{gateway}"),
+            works(gateway, engines),
+            now,
+        );
+    }
+    board
+}
+
+/// Loads of all engines, once for each placement.
+#[divan::bench(args = GATEWAYS)]
+fn loads(bencher: Bencher<'_, '_>, gateways: u32) {
+    let now = Instant::now();
+    let board = board(gateways, now);
+    let later = now + Duration::from_millis(20);
+    bencher.bench_local(|| black_box(board.loads(black_box(later))));
+}
+
+/// One heartbeat of another gateway.
+#[divan::bench]
+fn take_a_list(bencher: Bencher<'_, '_>) {
+    let now = Instant::now();
+    let mut board = board(7, now);
+    bencher
+        .with_inputs(|| works(3, 105))
+        .bench_local_values(|works| board.told("vm-3".into(), works, now));
+}
+
+fn candidates(count: u32) -> Vec<Candidate<u32>> {
+    let now = Instant::now();
+    let loads = board(count.div_ceil(ENGINES_EACH), now).loads(now);
+    let candidate = |key: u32| Candidate {
+        key,
+        order: u64::from(key),
+        slots: 16,
+        load: loads.get(&key).cloned().unwrap_or_default(),
+        penalty: 0.0,
+        near: true,
+    };
+    (0..count).map(candidate).collect()
+}
+
+fn prompt(tokens: u64) -> Prompt {
+    Prompt {
+        tokens,
+        max_output: 700,
+        objective_ms: 3_000.0,
+        pause_ms: 1_000.0,
+        deadline_ms: 15_000.0,
+    }
+}
+
+/// A short prompt among the engines of one service.
+#[divan::bench(args = [21, 290])]
+fn short(bencher: Bencher<'_, '_>, engines: u32) {
+    let candidates = candidates(engines);
+    let prompt = prompt(5_000);
+    bencher.bench_local(|| placement::short(&spec(), black_box(&prompt), &candidates));
+}
+
+/// A long prompt among the engines of one service.
+#[divan::bench(args = [21, 290])]
+fn long(bencher: Bencher<'_, '_>, engines: u32) {
+    let candidates = candidates(engines);
+    let prompt = prompt(182_000);
+    bencher
+        .bench_local(|| placement::long(&spec(), black_box(&prompt), Urgency::Late, &candidates));
+}
