Silence of a replica ends no answer; following the store stands once

Ruled out: a change of the configuration (it only makes the rule count), a limit on silence of 3 s as before (the same fault, seldomer).

What: a silent replica is kept until another has something; what comes first is taken, and when nothing else may be sent the silent one is waited for. A first silence is a reason only where attempts and budget allow another send. The two loops that follow the store are one (follow.rs), passing answers on too (headers.rs).

--- a/crates/gateway/src/client_request.rs
+++ b/crates/gateway/src/client_request.rs
@@ -14,15 +14,11 @@
 use briarhall_types::Organisation;
 use briarhall_types::Route;
 use briarhall_types::RouteKind;
-use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
-use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
-use hyper::header::TRANSFER_ENCODING;
-use hyper::header::UPGRADE;
 use hyper::http::request;
 
 use crate::answer::GiveUp;
@@ -171,21 +167,3 @@
         })
     }
 }
-
-/// Removes headers that concern one connection only.
-pub fn remove_connection_headers(headers: &mut HeaderMap) {
-    let named = headers.get_all(CONNECTION).iter();
-    let named = named.filter_map(|value| value.to_str().ok());
-    let named = named.flat_map(|value| value.split(','));
-    let named = named.filter_map(|name| name.trim().parse::<HeaderName>().ok());
-    let named = named.collect::<Vec<_>>();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in [CONNECTION, TRANSFER_ENCODING, UPGRADE] {
-        headers.remove(name);
-    }
-    for name in ["keep-alive", "proxy-connection", "te", "trailer"] {
-        headers.remove(name);
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,69 @@
+//! Keeps something up with the store: reads it whole, then watches, and begins
+//! anew whenever a watch gives out.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use briarhall_objects::PlatformError;
+use briarhall_types::Revision;
+
+/// Time that a watch waits; a silent connection is found by its probes well
+/// before.
+pub const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Pause after a call that failed, doubled up to [`MAX_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+/// Longest pause between calls: what changed must be in force two seconds after
+/// the store's return.
+const MAX_PAUSE: Duration = Duration::from_millis(400);
+
+/// Something of the store that is followed.
+pub trait Followed: Send + Sync {
+    /// Its name, for logs.
+    const WHAT: &'static str;
+
+    /// Reads it whole, and returns the revision to watch from.
+    fn read(&self) -> impl Future<Output = Result<Revision, PlatformError>> + Send;
+
+    /// Waits for a change after `since`, and returns where to go on.
+    fn watch(
+        &self,
+        since: Revision,
+    ) -> impl Future<Output = Result<Revision, PlatformError>> + Send;
+
+    /// The store did not answer.
+    fn lost(&self) {}
+}
+
+/// Follows it for ever.
+pub async fn follow<F>(followed: F)
+where
+    F: Followed,
+{
+    let mut read_at = None;
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let read = match read_at {
+            None => followed.read().await,
+            Some(since) => followed.watch(since).await,
+        };
+        match read {
+            Ok(at) => {
+                pause = FIRST_PAUSE;
+                read_at = Some(at);
+            }
+            Err(PlatformError::Expired) => {
+                log::info!(event = "watch_expired", what = F::WHAT; "watch expired");
+                read_at = None;
+            }
+            Err(e) => {
+                let error = e.to_string();
+                log::info!(event = "store_failed", what = F::WHAT, error = error.as_str(); "store failed");
+                followed.lost();
+                // What was missed while the store was away is read, not waited for.
+                read_at = None;
+                Timer::after(pause).await;
+                pause = (pause * 2).min(MAX_PAUSE);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/headers.rs
@@ -0,0 +1,38 @@
+//! Headers that concern one connection, and answers that are passed on.
+
+use briarhall_net::Body;
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderName;
+use hyper::header::TRANSFER_ENCODING;
+use hyper::header::UPGRADE;
+use hyper::http::response;
+
+/// Returns a replica's answer as the client gets it.
+#[must_use]
+pub fn pass_on(parts: response::Parts, body: Body) -> Response<Body> {
+    let mut reply = Response::new(body);
+    *reply.status_mut() = parts.status;
+    *reply.headers_mut() = parts.headers;
+    remove_connection_headers(reply.headers_mut());
+    reply
+}
+
+/// Removes headers that concern one connection only.
+pub fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named = headers.get_all(CONNECTION).iter();
+    let named = named.filter_map(|value| value.to_str().ok());
+    let named = named.flat_map(|value| value.split(','));
+    let named = named.filter_map(|name| name.trim().parse::<HeaderName>().ok());
+    let named = named.collect::<Vec<_>>();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [CONNECTION, TRANSFER_ENCODING, UPGRADE] {
+        headers.remove(name);
+    }
+    for name in ["keep-alive", "proxy-connection", "te", "trailer"] {
+        headers.remove(name);
+    }
+}
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -11,15 +11,15 @@
 use briarhall_net::read_limited;
 use briarhall_net::timeout;
 use briarhall_policy::health::Outcome;
-use bytes::Bytes;
 use hyper::Response;
-use hyper::http::response;
 
+use crate::answer::COME_BACK;
 use crate::answer::GiveUp;
 use crate::attempt::Sender;
 use crate::attempt::Sends;
 use crate::attempt::Sent;
 use crate::attempt::elapsed_ms;
+use crate::headers::pass_on;
 use crate::job::Job;
 use crate::state::note_outcome;
 use crate::wire::Wire;
@@ -47,7 +47,9 @@
     loop {
         let place = sender.place(job, &sends, 0).await?;
         let left = job.left().saturating_sub(TO_TELL);
-        let may_repeat = job.repeatable() && sends.may_have_run + 1 < job.route.max_attempts;
+        let may_repeat = job.repeatable()
+            && sends.may_have_run + 1 < job.route.max_attempts
+            && sender.shared.has_budget(&job.service);
         let limit = if may_repeat {
             left.mul_f64(PART_OF_TIME)
         } else {
@@ -76,7 +78,7 @@
                         } else {
                             sender.shared.metrics.time("request", job.arrived.elapsed());
                             log_end(job, id, parts.status.as_u16(), &sends);
-                            return Ok(pass_on(parts, body));
+                            return Ok(pass_on(parts, Body::whole(body)));
                         }
                     }
                     Ok(Err(e)) => {
@@ -113,7 +115,7 @@
 pub fn last_word(job: &Job, sends: &Sends) -> GiveUp {
     if sends.may_have_run == 0 {
         GiveUp::NotRun {
-            retry_after: crate::answer::COME_BACK,
+            retry_after: COME_BACK,
         }
     } else if job.left() <= TO_TELL {
         GiveUp::TimeOver
@@ -122,14 +124,6 @@
     }
 }
 
-fn pass_on(parts: response::Parts, body: Bytes) -> Response<Body> {
-    let mut reply = Response::new(Body::whole(body));
-    *reply.status_mut() = parts.status;
-    *reply.headers_mut() = parts.headers;
-    crate::client_request::remove_connection_headers(reply.headers_mut());
-    reply
-}
-
 fn log_end(job: &Job, replica: &str, status: u16, sends: &Sends) {
     log::info!(
         event = "ended",
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -24,14 +24,16 @@
 
 use crate::attempt::Sender;
 use crate::client_request::ClientRequests;
-use crate::config_watch;
+use crate::config_watch::FollowedConfiguration;
 use crate::control_plane::ControlPlane;
 use crate::directory::Directory;
 use crate::error::StartError;
+use crate::follow::follow;
 use crate::gossip;
 use crate::relay;
 use crate::relay::RelayService;
 use crate::replica_watch;
+use crate::replica_watch::FollowedReplicas;
 use crate::settings::Settings;
 use crate::state::Shared;
 use crate::stop::stop;
@@ -78,8 +80,14 @@
     executor.detach(gossip::receive(Arc::clone(&shared), socket.clone()));
     executor.detach(gossip::send(Arc::clone(&shared), socket, asked));
     executor.detach(gossip::bury(Arc::clone(&shared)));
-    executor.detach(config_watch::follow(Arc::clone(&shared), plane.clone()));
-    executor.detach(replica_watch::follow(Arc::clone(&shared), plane));
+    executor.detach(follow(FollowedConfiguration {
+        shared: Arc::clone(&shared),
+        plane: plane.clone(),
+    }));
+    executor.detach(follow(FollowedReplicas {
+        shared: Arc::clone(&shared),
+        plane,
+    }));
     executor.detach(replica_watch::expire(Arc::clone(&shared)));
     executor.detach(relay::follow(Arc::clone(&shared), client.clone()));
     let relay = RelayService {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -164,6 +164,14 @@
         budget.arrived(Instant::now());
     }
 
+    /// Returns whether a request of a service could be sent again now.
+    pub fn has_budget(&self, service: &ServiceName) -> bool {
+        let mut state = self.state();
+        let gateways = state.gateways();
+        let budget = state.budget(service, &self.settings);
+        budget.left(gateways) >= 1.0
+    }
+
     /// Puts a configuration in force unless a later one is.
     pub fn put_in_force(&self, configuration: Configuration, revision: Revision, source: &str) {
         let mut state = self.state();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,15 +11,19 @@
 use async_io::Timer;
 use briarhall_net::Body;
 use briarhall_net::BodySender;
+use briarhall_net::Connection;
 use briarhall_net::Exchange;
+use briarhall_net::read_limited;
 use briarhall_net::timeout;
 use briarhall_policy::health::Outcome;
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_lite::future;
+use futures_lite::future::pending;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
 use hyper::http::response;
 
 use crate::answer::GiveUp;
@@ -27,6 +31,7 @@
 use crate::attempt::Sends;
 use crate::attempt::Sent;
 use crate::attempt::elapsed_ms;
+use crate::headers::pass_on;
 use crate::job::Job;
 use crate::job::stream_patience;
 use crate::place::Place;
@@ -46,6 +51,8 @@
 const SILENCE_BEFORE: f64 = 0.45;
 /// Silence between events, against the same.
 const SILENCE_BETWEEN: f64 = 0.6;
+/// Longest answer that is no stream: a failure's text.
+const MAX_FAILURE_BYTES: usize = 1024 * 1024;
 /// Kept back to tell the client that its time is over.
 const TO_TELL: Duration = Duration::from_millis(20);
 /// Pause after a replica turned a request away.
@@ -61,7 +68,9 @@
     place: Place<W>,
     body: Incoming,
     splitter: EventSplitter,
-    _connection: briarhall_net::Connection,
+    /// Why it broke off, once it has.
+    broken: Option<CompactString>,
+    _connection: Connection,
 }
 
 enum Next {
@@ -92,11 +101,8 @@
                 first,
             } => {
                 let (tx, body) = Body::channel();
-                let mut reply = Response::new(body);
-                *reply.status_mut() = parts.status;
-                *reply.headers_mut() = parts.headers;
-                crate::client_request::remove_connection_headers(reply.headers_mut());
-                reply.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+                let mut reply = pass_on(*parts, body);
+                reply.headers_mut().remove(CONTENT_LENGTH);
                 let sender = sender.clone();
                 let executor = sender.executor.clone();
                 executor.detach(async move {
@@ -108,11 +114,7 @@
                 let again = parts.status.is_server_error() && sends.allow_another(&job, true);
                 if !again {
                     log_end(&job, "passed_on", parts.status.as_u16(), 0, &sends);
-                    let mut reply = Response::new(Body::whole(body));
-                    *reply.status_mut() = parts.status;
-                    *reply.headers_mut() = parts.headers;
-                    crate::client_request::remove_connection_headers(reply.headers_mut());
-                    return Ok(reply);
+                    return Ok(pass_on(*parts, Body::whole(body)));
                 }
                 true
             }
@@ -161,7 +163,9 @@
         .mul_f64(SILENCE_IN_PREDICTIONS)
         .max(patience.mul_f64(SILENCE_BEFORE))
         .max(SHORTEST_SILENCE);
-    let again = job.repeatable() && sends.may_have_run + 1 < job.route.max_attempts;
+    let again = job.repeatable()
+        && sends.may_have_run + 1 < job.route.max_attempts
+        && sender.shared.has_budget(&job.service);
     let limit = if again { silence.min(left) } else { left };
     let until = Instant::now() + limit;
     let exchange = match sender.send(job, &place, resume_after, limit, sends).await {
@@ -172,7 +176,7 @@
     let Exchange { reply, connection } = exchange;
     let (parts, body) = reply.into_parts();
     if !parts.status.is_success() {
-        let whole = briarhall_net::read_limited(body, 1024 * 1024);
+        let whole = read_limited(body, MAX_FAILURE_BYTES);
         return match timeout(left, whole).await {
             Ok(Ok(body)) => {
                 if parts.status.is_server_error() {
@@ -187,6 +191,7 @@
         place,
         body,
         splitter: EventSplitter::default(),
+        broken: None,
         _connection: connection,
     };
     let wait = until.saturating_duration_since(Instant::now());
@@ -208,27 +213,38 @@
 where
     W: Wire,
 {
+    /// Returns what comes next, within `limit`. What is cut off here is not
+    /// lost: the next call goes on.
     async fn next(&mut self, limit: Duration) -> Next {
-        let reading = async {
-            loop {
-                if let Some(event) = self.splitter.next_event() {
-                    return Next::Event(event);
-                }
-                match self.body.frame().await {
-                    None => return Next::End(self.splitter.take_rest()),
-                    Some(Err(e)) => return Next::Broken(CompactString::from(e.to_string())),
-                    Some(Ok(frame)) => {
-                        let Some(data) = frame.data_ref() else {
-                            continue;
-                        };
-                        if let Err(e) = self.splitter.push(data) {
-                            return Next::Broken(CompactString::from(e.to_string()));
-                        }
+        if let Some(reason) = &self.broken {
+            return Next::Broken(reason.clone());
+        }
+        let next = timeout(limit, self.read()).await;
+        let next = next.unwrap_or(Next::Silent);
+        if let Next::Broken(reason) = &next {
+            self.broken = Some(reason.clone());
+        }
+        next
+    }
+
+    async fn read(&mut self) -> Next {
+        loop {
+            if let Some(event) = self.splitter.next_event() {
+                return Next::Event(event);
+            }
+            match self.body.frame().await {
+                None => return Next::End(self.splitter.take_rest()),
+                Some(Err(e)) => return Next::Broken(CompactString::from(e.to_string())),
+                Some(Ok(frame)) => {
+                    let Some(data) = frame.data_ref() else {
+                        continue;
+                    };
+                    if let Err(e) = self.splitter.push(data) {
+                        return Next::Broken(CompactString::from(e.to_string()));
                     }
                 }
             }
-        };
-        timeout(limit, reading).await.unwrap_or(Next::Silent)
+        }
     }
 }
 
@@ -333,10 +349,10 @@
                     }
                     return Ended::Complete;
                 }
-                Next::Broken(_) | Next::Silent => {
+                Next::Broken(_) => {
                     let id = source.place.replica.id.clone();
                     log_break(&self.job, &id, &next, self.events);
-                    note_outcome(&self.sender.shared, &id, outcome_of(&next));
+                    note_outcome(&self.sender.shared, &id, Outcome::Broken);
                     drop(source);
                     match self.resume().await {
                         Some((resumed, event)) => {
@@ -347,6 +363,13 @@
                         None => return Ended::Broken,
                     }
                 }
+                Next::Silent => {
+                    let id = source.place.replica.id.clone();
+                    log_break(&self.job, &id, &next, self.events);
+                    note_outcome(&self.sender.shared, &id, Outcome::Silent);
+                    (source, next) = self.overtake(source).await;
+                    continue;
+                }
             }
             next = source.next(silence).await;
         }
@@ -364,6 +387,32 @@
         }
     }
 
+    /// Lets another replica go on where one is silent, and takes whichever has
+    /// something first. The silent one is not given up before: it may be all
+    /// there is.
+    async fn overtake(&mut self, mut silent: Source<W>) -> (Source<W>, Next) {
+        let left = self.job.left();
+        let other = {
+            let awakes = async {
+                match silent.next(left).await {
+                    // The other one may still go on.
+                    Next::Broken(_) => pending().await,
+                    next => Err(next),
+                }
+            };
+            let takes_over = async { Ok(self.resume().await) };
+            future::or(awakes, takes_over).await
+        };
+        match other {
+            Ok(Some(other)) => other,
+            Err(next) => (silent, next),
+            Ok(None) => {
+                let next = silent.next(self.job.left()).await;
+                (silent, next)
+            }
+        }
+    }
+
     async fn resume(&mut self) -> Option<(Source<W>, Next)> {
         let after = self.last_id.clone();
         // Without an id nobody can say where the stream broke.
