Placement: short functions, and a name for each weight

Cause: reading the diff as a newcomer: gang() had 70 lines and weights without a name.

What: engines in order of harm, members whose memory suffices, and lateness are functions of their own; no weight changed. place() leaves its log lines to two functions.

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -75,13 +75,7 @@
             return Err(sends.last_word());
         }
         if let Some(wait) = self.line_too_long(job, written) {
-            log::info!(
-                event = "line_too_long",
-                request = job.head.id.as_str(),
-                service = job.service.as_str(),
-                predicted_wait_ms = wait.as_millis();
-                "line too long"
-            );
+            note_line_too_long(job, wait);
             return Err(sends.last_word().come_back_in(wait));
         }
         let in_line = self.join_line(job, written);
@@ -100,14 +94,7 @@
                 Err(reason) => reason,
             };
             if reason == NoPlace::TooLarge || Instant::now() + LOOK_AGAIN >= until {
-                log::info!(
-                    event = "no_place",
-                    request = job.head.id.as_str(),
-                    service = job.service.as_str(),
-                    reason = reason.to_string().as_str(),
-                    waited_ms = elapsed_ms(job.arrived);
-                    "no place"
-                );
+                note_no_place(job, reason);
                 return Err(sends.last_word());
             }
             Timer::after(LOOK_AGAIN).await;
@@ -264,6 +251,27 @@
     }
 }
 
+fn note_line_too_long(job: &Job, wait: Duration) {
+    log::info!(
+        event = "line_too_long",
+        request = job.head.id.as_str(),
+        service = job.service.as_str(),
+        predicted_wait_ms = wait.as_millis();
+        "line too long"
+    );
+}
+
+fn note_no_place(job: &Job, reason: NoPlace) {
+    log::info!(
+        event = "no_place",
+        request = job.head.id.as_str(),
+        service = job.service.as_str(),
+        reason = reason.to_string().as_str(),
+        waited_ms = elapsed_ms(job.arrived);
+        "no place"
+    );
+}
+
 /// What a gateway knew when it chose.
 struct Known {
     registry: Revision,
--- a/crates/policy/src/placement/cost.rs
+++ b/crates/policy/src/placement/cost.rs
@@ -7,14 +7,13 @@
 use crate::board::Writer;
 use crate::engine::write_pass_ms;
 
+/// Tokens that are worth as much as a short prompt's answer by itself: its cost
+/// to repeat grows with them.
+const TOKENS_OF_WORTH: f64 = 10_000.0;
 /// Part of an engine's memory that is used; the rest is for answers that grow
 /// longer than was asked for.
 const KV_FILL: f64 = 0.95;
 
-pub(super) fn has_slot<K>(candidate: &Candidate<K>) -> bool {
-    candidate.load.requests < candidate.slots
-}
-
 /// What a prompt is worth against a short one: callers of long ones have
 /// waited longer for what they need, and their work costs more to repeat.
 #[expect(
@@ -22,7 +21,7 @@
     reason = "token counts are far below 2^52"
 )]
 pub(super) fn worth(tokens: u64) -> f64 {
-    1.0 + tokens as f64 / 10_000.0
+    1.0 + tokens as f64 / TOKENS_OF_WORTH
 }
 
 /// Returns whether a candidate's memory has room for `tokens` more.
--- a/crates/policy/src/placement/long.rs
+++ b/crates/policy/src/placement/long.rs
@@ -12,7 +12,6 @@
 use super::cost::first_event_ms;
 use super::cost::fits;
 use super::cost::harm;
-use super::cost::has_slot;
 use super::cost::holds;
 use super::cost::ratio;
 use super::cost::worth;
@@ -40,6 +39,17 @@
 /// Cost of one more part, against a short prompt's worth: another engine that
 /// may fail, and a step of its own.
 const PART_COST: f64 = 0.02;
+/// Weight of an engine's penalty against the prompt's worth: one that just broke
+/// off two requests costs as much as the prompt.
+const PENALTY_WEIGHT: f64 = 0.5;
+/// Weight of the place in the order, below a third of one short prompt made late.
+const FRONT_WEIGHT: f64 = 0.3;
+/// Part of a prompt's worth that a missed objective costs.
+const LATE_LOSS: f64 = 0.75;
+/// Added for each objective more: soon is better also when late.
+const LATER_LOSS: f64 = 0.1;
+/// Part of a prompt's worth between an answer at once and one just in time.
+const EARLY_LOSS: f64 = 0.2;
 /// Added to what a helper holds, for rounding to blocks.
 const PART_SLACK_TOKENS: u64 = 64;
 
@@ -193,68 +203,101 @@
     K: Clone,
 {
     let part = read_ms(spec, prompt.tokens, parts);
-    let part_tokens = prompt.tokens / (parts as u64) + PART_SLACK_TOKENS;
-    let worth = worth(prompt.tokens);
-    let count = free.len();
-    let rate = |(place, candidate): &(usize, &Candidate<K>)| {
-        let ready = first_event_ms(spec, candidate, part);
-        let harm = harm(spec, candidate, part) + candidate.penalty * worth * 0.5;
-        // The back of the order first, where nothing else decides.
-        let front = ratio(count.saturating_sub(*place), count);
-        harm + ready / prompt.objective_ms.max(1.0) + front * 0.3
-    };
-    let mut rated = free.iter().map(|c| (rate(c), c.1)).collect::<Vec<_>>();
-    rated.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let whole = prompt.tokens + prompt.max_output;
-    let alone = rated
-        .iter()
-        .position(|(_, c)| fits(spec, whole, c) && has_slot(c));
-    let (first, held) = if let Some(first) = alone {
-        (first, 0)
-    } else {
-        // No engine holds it whole: each holds its part.
-        let own = part_tokens + prompt.max_output;
-        let first = rated
-            .iter()
-            .position(|(_, c)| fits(spec, own, c) && has_slot(c))?;
-        (first, part_tokens)
-    };
-    let (_, first) = rated.remove(first);
-    let helpers = rated.iter().map(|(_, c)| *c);
-    let helpers = helpers.filter(|c| held == 0 || fits(spec, held, c));
-    let helpers = helpers.take(parts - 1).collect::<Vec<_>>();
-    if helpers.len() + 1 < parts {
-        return None;
-    }
-    let all = || helpers.iter().copied().chain([first]);
+    let best = by_harm(spec, prompt, free, part);
+    let members = members(spec, prompt, &best, parts)?;
+    let all = || members.helpers.iter().copied().chain([members.first]);
     let predicted = all().map(|c| first_event_ms(spec, c, part));
     let predicted = predicted.fold(0.0, f64::max);
     let harm = all().map(|c| harm(spec, c, part)).sum::<f64>();
-    let late = predicted / (prompt.objective_ms * MARGIN).max(1.0);
-    let late = if late > 1.0 {
-        0.75 + (late - 1.0) * 0.1
-    } else {
-        late * 0.2
-    };
-    let too_long = if part > prompt.pause_ms * MARGIN {
-        part / prompt.pause_ms.max(1.0)
-    } else {
-        0.0
-    };
+    let lateness = lateness(prompt, part, predicted);
     let plan = Plan {
-        first: first.key.clone(),
-        helpers: helpers.iter().map(|c| c.key.clone()).collect(),
+        first: members.first.key.clone(),
+        helpers: members.helpers.iter().map(|c| c.key.clone()).collect(),
         part_ms: part,
-        part_tokens: held,
+        part_tokens: members.held_tokens,
         predicted_ms: predicted,
     };
     Some(Rated {
-        cost: harm + worth * (late + too_long) + ratio(parts, 1) * PART_COST,
+        cost: harm + worth(prompt.tokens) * lateness + ratio(parts, 1) * PART_COST,
         harm,
         plan,
     })
 }
 
+/// Orders engines by what a part there harms, then by how soon it is read.
+fn by_harm<'a, K>(
+    spec: &EngineSpec,
+    prompt: &Prompt,
+    free: &[(usize, &'a Candidate<K>)],
+    part: f64,
+) -> Vec<&'a Candidate<K>> {
+    let worth = worth(prompt.tokens);
+    let rate = |(place, candidate): &(usize, &Candidate<K>)| {
+        let ready = first_event_ms(spec, candidate, part) / prompt.objective_ms.max(1.0);
+        let risk = candidate.penalty * worth * PENALTY_WEIGHT;
+        // The back of the order first, where nothing else decides.
+        let front = ratio(free.len().saturating_sub(*place), free.len());
+        harm(spec, candidate, part) + risk + ready + front * FRONT_WEIGHT
+    };
+    let mut rated = free.iter().map(|c| (rate(c), c.1)).collect::<Vec<_>>();
+    rated.sort_by(|a, b| a.0.total_cmp(&b.0));
+    rated.into_iter().map(|(_, candidate)| candidate).collect()
+}
+
+/// Engines that share a prompt.
+struct Members<'a, K> {
+    first: &'a Candidate<K>,
+    helpers: Vec<&'a Candidate<K>>,
+    /// Tokens that each helper holds; none when the first holds all.
+    held_tokens: u64,
+}
+
+/// Takes the best engines whose memory suffices. When none holds the prompt
+/// whole, each holds its part.
+fn members<'a, K>(
+    spec: &EngineSpec,
+    prompt: &Prompt,
+    best: &[&'a Candidate<K>],
+    parts: usize,
+) -> Option<Members<'a, K>> {
+    let part = prompt.tokens / (parts as u64) + PART_SLACK_TOKENS;
+    let answers = |tokens: u64| {
+        let wanted = tokens + prompt.max_output;
+        let suits = |c: &&Candidate<K>| fits(spec, wanted, c) && c.load.requests < c.slots;
+        best.iter().position(suits)
+    };
+    let (first, held_tokens) = match answers(prompt.tokens) {
+        Some(first) => (first, 0),
+        None => (answers(part)?, part),
+    };
+    let others = best.iter().enumerate().filter(|(at, _)| *at != first);
+    let others = others.map(|(_, candidate)| *candidate);
+    let helpers = others.filter(|c| held_tokens == 0 || fits(spec, held_tokens, c));
+    let helpers = helpers.take(parts - 1).collect::<Vec<_>>();
+    let enough = helpers.len() + 1 == parts;
+    enough.then(|| Members {
+        first: best[first],
+        helpers,
+        held_tokens,
+    })
+}
+
+/// Part of a prompt's worth that is lost to time: little while it meets its
+/// objective, most of it after, and more when its parts hold engines up.
+fn lateness(prompt: &Prompt, part: f64, predicted: f64) -> f64 {
+    let used = predicted / (prompt.objective_ms * MARGIN).max(1.0);
+    let late = if used > 1.0 {
+        LATE_LOSS + (used - 1.0) * LATER_LOSS
+    } else {
+        used * EARLY_LOSS
+    };
+    if part > prompt.pause_ms * MARGIN {
+        late + part / prompt.pause_ms.max(1.0)
+    } else {
+        late
+    }
+}
+
 /// Returns whether a long part may be sent there.
 fn is_free<K>(candidate: &Candidate<K>) -> bool {
     let load = &candidate.load;
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -34,6 +34,10 @@
 /// takes half of such a pause.
 const LONG_FROM_MS: f64 = 1_000.0;
 
+/// Cost of another availability zone, against a full replica: it decides between
+/// equals only.
+const FAR: f64 = 0.05;
+
 /// What a prompt needs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Prompt {
@@ -113,7 +117,7 @@
 {
     let cost = |candidate: &Candidate<K>| {
         let taken = candidate.load.requests as f64 / candidate.slots.max(1) as f64;
-        let far = if candidate.near { 0.0 } else { 0.05 };
+        let far = if candidate.near { 0.0 } else { FAR };
         taken + candidate.penalty + far
     };
     let best = candidates.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
--- a/crates/policy/src/placement/short.rs
+++ b/crates/policy/src/placement/short.rs
@@ -17,6 +17,8 @@
 use super::in_order;
 use crate::engine::read_ms;
 
+/// Weight of a penalty against a whole objective or a full engine.
+const PENALTY_WEIGHT: f64 = 2.0;
 /// Part of an objective within which a short prompt takes the first engine
 /// that offers it.
 const QUICK: f64 = 0.45;
@@ -50,7 +52,7 @@
     let first_fit = |part: f64| ordered.iter().filter(fits).find(|c| within(c, part));
     let first_fit = || first_fit(QUICK).or_else(|| first_fit(MARGIN));
     let cost = |c: &Candidate<K>| {
-        predicted(c) / prompt.objective_ms.max(1.0) + filled(c) + c.penalty * 2.0
+        predicted(c) / prompt.objective_ms.max(1.0) + filled(c) + c.penalty * PENALTY_WEIGHT
     };
     let least_bad = || {
         let fitting = ordered.iter().filter(fits);
