Gateways contain a request that crashes replicas

Ruled out: counting every broken connection (replicas that break off a part of their answers are not crashing), counting crashes in any order (replicas lost at one moment would convict what many callers ask at once), probation as the product's routers do it (a gateway cannot empty a replica).

Now three crashes in a row convict, each of a send begun after the crash before, with no answer between; each gateway tells its signs in heartbeats.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,5 @@
 //! One send of a request, and what came of it.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -23,6 +22,7 @@
 use crate::place::Place;
 use crate::state::Shared;
 use crate::state::note_outcome;
+use crate::state::note_ran;
 use crate::wire::Outgoing;
 use crate::wire::ReplyHead;
 use crate::wire::Wire;
@@ -118,7 +118,7 @@
         let exchange = self.client.start(address, req, CONNECT_LIMIT);
         let exchange = match timeout(limit, exchange).await {
             Ok(Ok(exchange)) => exchange,
-            Ok(Err(e)) => return self.failed(job, id, address, &e, sends),
+            Ok(Err(e)) => return self.failed(job, place, &e, sends),
             Err(_elapsed) => {
                 note_outcome(&self.shared, id, Outcome::Silent);
                 sends.may_have_run += 1;
@@ -133,6 +133,7 @@
             connection: exchange.connection,
         };
         if head.answers.as_ref().is_some_and(|a| *a != job.head.id) {
+            // It lives, and answers something: no sign of a crash.
             note_outcome(&self.shared, id, Outcome::Broken);
             sends.may_have_run += 1;
             log_send(job, id, "answer_to_another", 0);
@@ -160,21 +161,15 @@
         Sent::Answer(Box::new(exchange), head)
     }
 
-    fn failed(
-        &self,
-        job: &Job,
-        id: &ReplicaId,
-        address: SocketAddr,
-        e: &HttpError,
-        sends: &mut Sends,
-    ) -> Sent {
+    fn failed(&self, job: &Job, place: &Place<W>, e: &HttpError, sends: &mut Sends) -> Sent {
+        let id = &place.replica.id;
+        let address = place.replica.address;
         let before = e.phase() == HowFar::BeforeSend;
-        let outcome = if before {
-            Outcome::Unreachable
+        if before {
+            note_outcome(&self.shared, id, Outcome::Unreachable);
         } else {
-            Outcome::Broken
-        };
-        note_outcome(&self.shared, id, outcome);
+            note_ran(&self.shared, job, id, place.since, Outcome::Broken);
+        }
         log::info!(
             event = "send_failed",
             request = job.head.id.as_str(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,16 +11,12 @@
 use async_channel::Receiver;
 use async_io::Timer;
 use async_net::UdpSocket;
-use briarhall_policy::board::Work;
-use briarhall_policy::line::Waiter;
 use briarhall_policy::peers::DOWN_AFTER;
 use briarhall_policy::peers::HEARTBEAT;
 use briarhall_policy::peers::Heard;
-use briarhall_policy::peers::Presence;
 use futures_lite::future;
-use serde::Deserialize;
-use serde::Serialize;
 
+use crate::heartbeat::Heartbeat;
 use crate::state::Shared;
 
 /// Shortest time between two heartbeats that tell of changes.
@@ -30,16 +26,6 @@
 /// Addresses of others that a heartbeat carries.
 const MAX_KNOWN: usize = 16;
 
-/// What gateways tell each other.
-#[derive(Debug, Serialize, Deserialize)]
-struct Heartbeat {
-    presence: Presence,
-    works: Vec<Work>,
-    waiters: Vec<Waiter>,
-    /// Gateways that the sender knows of.
-    known: Vec<SocketAddr>,
-}
-
 /// Sends heartbeats on every change, and regularly.
 pub async fn send(shared: Arc<Shared>, socket: UdpSocket, asked: Receiver<()>) {
     loop {
@@ -66,6 +52,7 @@
     let now = Instant::now();
     let mut state = shared.state();
     state.peers.forget(now);
+    state.crashes.forget(now);
     let known = state.peers.up(now).map(|p| p.mesh).take(MAX_KNOWN);
     let known = known.collect::<Vec<_>>();
     let mut to = state.peers.addresses().collect::<Vec<_>>();
@@ -73,6 +60,7 @@
         presence: shared.presence(&mut state),
         works: state.board.own(now),
         waiters: state.line.own(now),
+        signs: state.crashes.own(now),
         known,
     };
     drop(state);
@@ -80,22 +68,18 @@
     to.sort_unstable();
     to.dedup();
     to.retain(|address| *address != shared.settings.gossip);
-    let mut text = encode(&heartbeat);
+    let mut text = heartbeat.encode();
     if text.len() > MAX_DATAGRAM {
         let works = heartbeat.works.len();
         log::warn!(event = "heartbeat_cut", works; "too much work in flight for one heartbeat");
         heartbeat
             .works
             .truncate(works * MAX_DATAGRAM / text.len() / 2);
-        text = encode(&heartbeat);
+        text = heartbeat.encode();
     }
     (text, to)
 }
 
-fn encode(heartbeat: &Heartbeat) -> Vec<u8> {
-    postcard::to_stdvec(heartbeat).expect("a heartbeat has only types that postcard holds")
-}
-
 /// Takes heartbeats.
 pub async fn receive(shared: Arc<Shared>, socket: UdpSocket) {
     let mut buf = vec![0; MAX_DATAGRAM + 1_024];
@@ -108,7 +92,7 @@
                 continue;
             }
         };
-        match postcard::from_bytes::<Heartbeat>(&buf[..len]) {
+        match Heartbeat::decode(&buf[..len]) {
             Ok(heartbeat) => take(&shared, heartbeat),
             Err(e) => {
                 log::debug!(error = e.to_string().as_str(), len; "a datagram is no heartbeat");
@@ -123,6 +107,7 @@
         presence,
         works,
         waiters,
+        signs,
         known,
     } = heartbeat;
     if presence.vm == shared.settings.vm && presence.incarnation == shared.incarnation {
@@ -130,6 +115,7 @@
     }
     let mut state = shared.state();
     let vm = presence.vm.clone();
+    let incarnation = presence.incarnation;
     let (ready, stopping) = (presence.ready, presence.stopping);
     let new = known.into_iter().filter(|a| *a != shared.settings.gossip);
     let new = new.collect::<Vec<_>>();
@@ -140,6 +126,7 @@
     }
     state.board.told(vm.clone(), works, now);
     state.line.told(vm.clone(), waiters, now);
+    state.crashes.told(incarnation, &signs, now);
     drop(state);
     if matches!(heard, Heard::Up | Heard::Changed) {
         log::info!(event = "peer", peer = vm.as_str(), ready, stopping, up = true; "peer");
--- /dev/null
+++ b/crates/gateway/src/heartbeat.rs
@@ -0,0 +1,81 @@
+//! The datagram that gateways send each other, and the checks that whatever
+//! arrives must pass before it changes what a gateway believes.
+
+use std::net::SocketAddr;
+
+use briarhall_policy::board::Work;
+use briarhall_policy::crashes::Sign;
+use briarhall_policy::line::Waiter;
+use briarhall_policy::peers::Presence;
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+/// Longest time in a heartbeat, in milliseconds: a day, and no request lives so
+/// long.
+const LONGEST_MS: f32 = 86_400_000.0;
+
+/// What gateways tell each other.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Who sends it.
+    pub presence: Presence,
+    /// Its whole list of work in flight.
+    pub works: Vec<Work>,
+    /// Its whole list of prompts in line.
+    pub waiters: Vec<Waiter>,
+    /// Requests that were on board of crashes it saw.
+    pub signs: Vec<Sign>,
+    /// Gateways that it knows of.
+    pub known: Vec<SocketAddr>,
+}
+
+/// Says why a datagram is no heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum HeartbeatError {
+    /// Its bytes are no heartbeat.
+    #[error("the bytes are no heartbeat: {0}")]
+    Bytes(#[from] postcard::Error),
+    /// A time in it cannot be.
+    #[error("a time in it is not finite, negative or longer than a day")]
+    Time,
+}
+
+impl Heartbeat {
+    /// Returns its bytes.
+    ///
+    /// # Panics
+    ///
+    /// Never: a heartbeat has only types that postcard holds.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("a heartbeat has only types that postcard holds")
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it is no heartbeat, or one that no gateway sends.
+    pub fn decode(bytes: &[u8]) -> Result<Self, HeartbeatError> {
+        let heartbeat = postcard::from_bytes::<Self>(bytes)?;
+        let works = heartbeat.works.iter();
+        let waiters = heartbeat.waiters.iter();
+        let sound = works.map(|work| work.read_ms).all(is_duration)
+            && waiters
+                .clone()
+                .map(|waiter| waiter.read_ms)
+                .all(is_duration)
+            && waiters.clone().map(|w| w.slack_ms.abs()).all(is_duration)
+            && waiters.map(|w| w.turn_ms.abs()).all(is_duration);
+        if sound {
+            Ok(heartbeat)
+        } else {
+            Err(HeartbeatError::Time)
+        }
+    }
+}
+
+fn is_duration(ms: f32) -> bool {
+    (0.0..=LONGEST_MS).contains(&ms)
+}
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use briarhall_policy::crashes::Fingerprint;
 use briarhall_policy::engine;
 use briarhall_policy::placement::Prompt;
 use briarhall_policy::placement::Urgency;
 use briarhall_types::ConfigurationVersion;
+use briarhall_types::Digest;
 use briarhall_types::EngineSpec;
 use briarhall_types::Organisation;
 use briarhall_types::Route;
@@ -129,6 +131,17 @@
         }
     }
 
+    /// Returns what stays the same when its caller sends it again: caller,
+    /// method, path and body.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        let caller = self.organisation.as_ref().map_or("", |o| o.name.as_str());
+        let path = self.uri.path_and_query().map_or("", |path| path.as_str());
+        let parts = [caller, self.method.as_str(), path].map(str::as_bytes);
+        let [caller, method, path] = parts;
+        Digest::of_parts(&[caller, method, path, &self.body]).prefix()
+    }
+
     /// Returns the longest pause that its caller accepts.
     #[must_use]
     pub fn pause(&self) -> Duration {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod follow;
 mod gossip;
 mod headers;
+pub mod heartbeat;
 mod job;
 mod place;
 mod plain;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -7,6 +7,7 @@
 use briarhall_policy::board::Phase;
 use briarhall_policy::board::Work;
 use briarhall_policy::board::tag;
+use briarhall_policy::crashes::CRASHES_TO_CONVICT;
 use briarhall_policy::engine;
 use briarhall_policy::line::Waiter;
 use briarhall_policy::placement;
@@ -42,6 +43,10 @@
 const LONG_LANE: f64 = 0.8;
 /// Part of its time left that a long prompt can wait and still be answered.
 const LONGEST_WAIT: f64 = 0.45;
+/// When a request that crashes replicas may come back: its verdict holds far
+/// longer, and no client's deadline is later.
+const COME_BACK_CRASHER: Duration = Duration::from_mins(1);
+
 /// A send with a place on the board.
 #[derive(Debug)]
 pub struct Place<W>
@@ -54,6 +59,8 @@
     pub helpers: Vec<Helper>,
     /// Predicted time to the first event, in milliseconds.
     pub predicted_ms: f64,
+    /// When it was found; the request is sent at once.
+    pub since: Instant,
     /// Keeps it on the board.
     pub placed: Placed,
     /// Tokens that each helper holds.
@@ -71,6 +78,9 @@
     ///
     /// Returns the answer for the client when there is none in time.
     pub async fn place(&self, job: &Job, sends: &Sends, written: u64) -> Result<Place<W>, GiveUp> {
+        if self.crashes_replicas(job) {
+            return Err(sends.last_word().come_back_in(COME_BACK_CRASHER));
+        }
         if sends.any() && !self.may_repeat(job) {
             return Err(sends.last_word());
         }
@@ -101,6 +111,28 @@
         }
     }
 
+    /// Returns whether the request is taken to crash the replicas that run it.
+    fn crashes_replicas(&self, job: &Job) -> bool {
+        if self.shared.state().crashes.is_empty() {
+            return false;
+        }
+        let fingerprint = job.fingerprint();
+        let state = self.shared.state();
+        let convicted = state.crashes.convicted(fingerprint, Instant::now());
+        drop(state);
+        if convicted {
+            self.shared.metrics.count("request_crashes_replicas");
+            log::warn!(
+                event = "crasher",
+                request = job.head.id.as_str(),
+                fingerprint,
+                crashes = CRASHES_TO_CONVICT;
+                "every replica that ran this request has crashed"
+            );
+        }
+        convicted
+    }
+
     /// Returns how long a prompt would wait in line, when that is more than it
     /// can: its client is better off coming back.
     fn line_too_long(&self, job: &Job, written: u64) -> Option<Duration> {
@@ -205,6 +237,7 @@
             helpers: helpers.collect(),
             replica,
             predicted_ms: plan.predicted_ms,
+            since: now,
             placed,
             held_tokens: plan.part_tokens,
             reservation: None,
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -22,6 +22,7 @@
 use crate::headers::pass_on;
 use crate::job::Job;
 use crate::state::note_outcome;
+use crate::state::note_ran;
 use crate::wire::Wire;
 
 /// Longest answer that is held; longer ones belong on streaming routes.
@@ -72,7 +73,7 @@
                         } else {
                             Outcome::Answered
                         };
-                        note_outcome(&sender.shared, id, outcome);
+                        note_ran(&sender.shared, job, id, place.since, outcome);
                         if failed && sends.allow_another(job, true) {
                             true
                         } else {
@@ -82,7 +83,7 @@
                         }
                     }
                     Ok(Err(e)) => {
-                        note_outcome(&sender.shared, id, Outcome::Broken);
+                        note_ran(&sender.shared, job, id, place.since, Outcome::Broken);
                         log::info!(
                             event = "answer_broken",
                             request = job.head.id.as_str(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,6 +16,7 @@
 use briarhall_policy::board::Board;
 use briarhall_policy::board::Work;
 use briarhall_policy::board::WorkKey;
+use briarhall_policy::crashes::Crashes;
 use briarhall_policy::health::Health;
 use briarhall_policy::health::Outcome;
 use briarhall_policy::line::Line;
@@ -34,6 +35,7 @@
 use briarhall_types::Revision;
 use briarhall_types::ServiceName;
 
+use crate::job::Job;
 use crate::settings::Settings;
 use crate::start::session_limits;
 
@@ -63,6 +65,8 @@
     pub registry_known: bool,
     /// Replicas by what happened there.
     pub health: Health,
+    /// Requests that may crash replicas.
+    pub crashes: Crashes,
     /// Work in flight.
     pub board: Board,
     /// Long prompts that wait.
@@ -102,6 +106,7 @@
             replicas: Replicas::default(),
             registry_known: false,
             health: Health::default(),
+            crashes: Crashes::default(),
             board: Board::default(),
             line: Line::default(),
             peers: Peers::default(),
@@ -227,6 +232,7 @@
         for event in events {
             if matches!(event.what, Belief::Gone | Belief::Restarted) {
                 self.health.forget(&event.id);
+                self.note_crash(&event.id, event.what.as_str());
             }
             log::info!(
                 event = "replica",
@@ -239,6 +245,15 @@
         }
     }
 
+    /// Notes that a replica is gone or cannot be reached. What broke off there
+    /// shortly before was on board of a crash.
+    pub fn note_crash(&mut self, id: &ReplicaId, evidence: &str) {
+        let on_board = self.crashes.crashed(id, Instant::now());
+        if on_board > 0 {
+            log::info!(event = "replica_crashed", replica = id.as_str(), evidence, on_board; "replica crashed");
+        }
+    }
+
     /// Returns the budget for sending requests of a service again.
     pub fn budget(&mut self, service: &ServiceName, settings: &Settings) -> &mut WindowBudget {
         let budget = self.budgets.entry(service.clone());
@@ -324,7 +339,31 @@
 /// Notes what happened at a replica.
 pub fn note_outcome(shared: &Shared, id: &ReplicaId, outcome: Outcome) {
     shared.metrics.count(outcome.metric());
-    shared.state().health.note(id, outcome, Instant::now());
+    let mut state = shared.state();
+    state.health.note(id, outcome, Instant::now());
+    if outcome == Outcome::Unreachable {
+        state.note_crash(id, "unreachable");
+    }
+}
+
+/// Notes what came of a request that a replica had begun to run.
+pub fn note_ran(shared: &Shared, job: &Job, id: &ReplicaId, sent: Instant, outcome: Outcome) {
+    note_outcome(shared, id, outcome);
+    let now = Instant::now();
+    match outcome {
+        Outcome::Broken => {
+            let fingerprint = job.fingerprint();
+            let crashes = &mut shared.state().crashes;
+            crashes.broke_off(fingerprint, id, sent, now);
+        }
+        Outcome::Answered | Outcome::Failed => {
+            if !shared.state().crashes.is_empty() {
+                let fingerprint = job.fingerprint();
+                shared.state().crashes.answered(fingerprint, now);
+            }
+        }
+        Outcome::Refused | Outcome::Silent | Outcome::Unreachable => {}
+    }
 }
 
 /// A place in line as long as this lives.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -38,7 +38,7 @@
 use crate::plain::last_word;
 use crate::sse::Event;
 use crate::sse::EventSplitter;
-use crate::state::note_outcome;
+use crate::state::note_ran;
 use crate::wire::Wire;
 
 /// Shortest silence that counts as a failure: the longest pass of an engine that
@@ -180,7 +180,8 @@
         return match timeout(left, whole).await {
             Ok(Ok(body)) => {
                 if parts.status.is_server_error() {
-                    note_outcome(&sender.shared, &place.replica.id, Outcome::Failed);
+                    let id = &place.replica.id;
+                    note_ran(&sender.shared, job, id, place.since, Outcome::Failed);
                 }
                 Began::Other(Box::new(parts), body)
             }
@@ -197,8 +198,9 @@
     let wait = until.saturating_duration_since(Instant::now());
     let first = source.next(wait).await;
     if let Next::Broken(_) | Next::Silent = &first {
-        log_break(job, &source.place.replica.id, &first, 0);
-        note_outcome(&sender.shared, &source.place.replica.id, outcome_of(&first));
+        let Place { replica, since, .. } = &source.place;
+        log_break(job, &replica.id, &first, 0);
+        note_ran(&sender.shared, job, &replica.id, *since, outcome_of(&first));
         return Began::Lost;
     }
     source.place.placed.writes();
@@ -342,17 +344,16 @@
                     }
                 }
                 Next::End(rest) => {
-                    let id = &source.place.replica.id;
-                    note_outcome(&self.sender.shared, id, Outcome::Answered);
+                    self.note(&source.place, Outcome::Answered);
                     if !rest.is_empty() && tx.send(rest).await.is_err() {
                         return Ended::ClientLeft;
                     }
                     return Ended::Complete;
                 }
                 Next::Broken(_) => {
-                    let id = source.place.replica.id.clone();
-                    log_break(&self.job, &id, &next, self.events);
-                    note_outcome(&self.sender.shared, &id, Outcome::Broken);
+                    let id = &source.place.replica.id;
+                    log_break(&self.job, id, &next, self.events);
+                    self.note(&source.place, Outcome::Broken);
                     drop(source);
                     match self.resume().await {
                         Some((resumed, event)) => {
@@ -364,9 +365,9 @@
                     }
                 }
                 Next::Silent => {
-                    let id = source.place.replica.id.clone();
-                    log_break(&self.job, &id, &next, self.events);
-                    note_outcome(&self.sender.shared, &id, Outcome::Silent);
+                    let id = &source.place.replica.id;
+                    log_break(&self.job, id, &next, self.events);
+                    self.note(&source.place, Outcome::Silent);
                     (source, next) = self.overtake(source).await;
                     continue;
                 }
@@ -375,6 +376,11 @@
         }
     }
 
+    fn note(&self, place: &Place<W>, outcome: Outcome) {
+        let id = &place.replica.id;
+        note_ran(&self.sender.shared, &self.job, id, place.since, outcome);
+    }
+
     /// Returns whether the client has an event already.
     fn is_repeated(&self, event: &Event) -> bool {
         let number = |id: &CompactString| id.parse::<u64>().ok();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod board;
 pub mod book;
 pub mod claims;
+pub mod crashes;
 pub mod duty;
 pub mod engine;
 pub mod fleet;
