Heartbeats with impossible times are refused

Cause: times in heartbeats were believed as they came. A flipped bit in the time of a waiting prompt made the predicted wait negative or infinite, and turning that into a duration panics in the placement of every long prompt.

Ruled out: a guard at each use, as every later use would need it again.

--- /dev/null
+++ b/crates/gateway/tests/heartbeat.rs
@@ -0,0 +1,183 @@
+//! Datagrams that were damaged on the way, cut, or sent by something else.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bolero::TypeGenerator;
+use briarhall_gateway::heartbeat::Heartbeat;
+use briarhall_policy::board::Board;
+use briarhall_policy::board::Phase;
+use briarhall_policy::board::Work;
+use briarhall_policy::crashes::Crashes;
+use briarhall_policy::crashes::Sign;
+use briarhall_policy::crashes::What;
+use briarhall_policy::line::Line;
+use briarhall_policy::line::Waiter;
+use briarhall_policy::peers::Heard;
+use briarhall_policy::peers::Peers;
+use briarhall_policy::peers::Presence;
+
+fn address(n: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, n], 7_340))
+}
+
+fn heartbeat() -> Heartbeat {
+    let work = Work {
+        replica: 7,
+        phase: Phase::Reads,
+        read_ms: 120.5,
+        kv_tokens: 45_000,
+        pause_ms: Some(250),
+        age_ms: 40,
+    };
+    let waiter = Waiter {
+        id: 9,
+        service: 3,
+        priority: 1,
+        slack_ms: -40.0,
+        turn_ms: 700.0,
+        read_ms: 3_800.0,
+    };
+    let crash = Sign {
+        fingerprint: 0x1234_5678_9abc_def0,
+        what: What::Crashed { ran_ms: 30 },
+        age_ms: 900,
+    };
+    Heartbeat {
+        presence: Presence {
+            vm: "vm-1".into(),
+            incarnation: 0xdead_beef_0000_0001,
+            sequence: 400,
+            mesh: address(1),
+            relay: address(2),
+            front: address(3),
+            zone: "a".into(),
+            ready: true,
+            stopping: false,
+            configuration: 12,
+            replicas: 500,
+        },
+        works: vec![work; 3],
+        waiters: vec![waiter; 2],
+        signs: vec![crash; 2],
+        known: vec![address(4), address(5)],
+    }
+}
+
+/// Damage to one byte, or an end too soon.
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+enum Damage {
+    Flip { at: u16, bits: u8 },
+    Cut { at: u16 },
+    Double { at: u16 },
+    Insert { at: u16, byte: u8 },
+}
+
+fn damaged(damages: &[Damage]) -> Vec<u8> {
+    let mut bytes = heartbeat().encode();
+    for damage in damages {
+        let within = |at: u16| usize::from(at) % bytes.len().max(1);
+        match *damage {
+            _ if bytes.is_empty() => {}
+            Damage::Flip { at, bits } => {
+                let at = within(at);
+                bytes[at] ^= bits;
+            }
+            Damage::Cut { at } => bytes.truncate(within(at)),
+            Damage::Double { at } => {
+                let tail = bytes[within(at)..].to_vec();
+                bytes.extend(tail);
+            }
+            Damage::Insert { at, byte } => bytes.insert(within(at), byte),
+        }
+    }
+    bytes
+}
+
+/// Lets everything that a heartbeat changes take it, and asks what a placement
+/// asks.
+fn take(heartbeat: Heartbeat) {
+    let now = Instant::now();
+    let (mut board, mut line) = (Board::default(), Line::default());
+    let (mut peers, mut crashes) = (Peers::default(), Crashes::default());
+    let Heartbeat {
+        presence,
+        works,
+        waiters,
+        signs,
+        known,
+    } = heartbeat;
+    let vm = presence.vm.clone();
+    let incarnation = presence.incarnation;
+    peers.introduce(&known, now);
+    assert_eq!(peers.heard(presence, now), Heard::Up);
+    let services = waiters.iter().map(|w| w.service).collect::<Vec<_>>();
+    let fingerprints = signs.iter().map(|s| s.fingerprint).collect::<Vec<_>>();
+    board.told(vm.clone(), works, now);
+    line.told(vm, waiters, now);
+    crashes.told(incarnation, &signs, now);
+    let later = now + Duration::from_millis(5);
+    for load in board.loads(later).values() {
+        assert!(load.backlog_ms.is_finite(), "{load:?}");
+    }
+    for service in services {
+        let work = line.work_ms(service);
+        let wait = Duration::try_from_secs_f64(work / 1_000.0);
+        assert!(wait.is_ok(), "a wait of {work} ms");
+    }
+    for fingerprint in fingerprints {
+        // Three signs in a row are needed, and these may be anything.
+        let _either = crashes.convicted(fingerprint, later);
+    }
+    crashes.forget(later);
+}
+
+#[test]
+fn damaged_heartbeats_are_refused_or_harmless() {
+    briarhall_fuzz::histories::<Damage, _>(1..6, |damages| {
+        if let Ok(heartbeat) = Heartbeat::decode(&damaged(damages)) {
+            take(heartbeat);
+        }
+    });
+}
+
+#[test]
+fn other_datagrams_are_refused_or_harmless() {
+    briarhall_fuzz::values::<Vec<u8>, _>(|bytes| {
+        if let Ok(heartbeat) = Heartbeat::decode(bytes) {
+            take(heartbeat);
+        }
+    });
+}
+
+#[test]
+fn a_heartbeat_arrives_as_it_was_sent() {
+    let sent = heartbeat();
+    assert_eq!(Heartbeat::decode(&sent.encode()).as_ref(), Ok(&sent));
+    take(sent);
+}
+
+/// Names each case of a time that no gateway sends.
+macro_rules! impossible_times {
+    ($($name:ident: $ms:expr),+ $(,)?) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut in_work = heartbeat();
+                in_work.works[1].read_ms = $ms;
+                assert!(Heartbeat::decode(&in_work.encode()).is_err());
+                let mut in_line = heartbeat();
+                in_line.waiters[1].read_ms = $ms;
+                assert!(Heartbeat::decode(&in_line.encode()).is_err());
+            }
+        )+
+    };
+}
+
+impossible_times! {
+    no_number: f32::NAN,
+    infinite: f32::INFINITY,
+    negative: -1.0,
+    of_years: 1.0e12,
+}
