A stream silent to the end of its time no longer stops the gateway

Cause: a replica that stays silent while nothing may go on elsewhere was waited for again and again; once the request's time was over each wait ended at once, and the loop never let another task of the one thread run. Nothing was read, sent or cancelled until the replica spoke, if ever.

Its log has 620,000 lines 'stream_broken ... silent' of one request, from 9,824 ms on, while 8 of 10 clients had left unnoticed. Ruled out: the closing of clients' connections (their tests pass), load (processor time was not counted).

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -365,6 +365,11 @@
                     }
                 }
                 Next::Silent => {
+                    // With no time left each wait ends at once, and this task
+                    // would never let another run.
+                    if self.job.left().is_zero() {
+                        return Ended::TimeOver;
+                    }
                     let id = &source.place.replica.id;
                     log_break(&self.job, id, &next, self.events);
                     self.note(&source.place, Outcome::Silent);
--- /dev/null
+++ b/crates/policy/src/placement/baseline.rs
@@ -0,0 +1,66 @@
+//! Baselines: a prompt goes whole to one engine, by a rule that knows nothing of
+//! its length.
+
+use briarhall_types::EngineSpec;
+use rand::Rng;
+use rand::RngExt;
+
+use super::Candidate;
+use super::NoPlace;
+use super::Plan;
+use super::Prompt;
+use super::cost::first_event_ms;
+use super::in_order;
+use crate::engine::read_ms;
+use crate::policies::Policy;
+
+/// Chooses an engine by a baseline; `turn` counts this gateway's choices.
+///
+/// # Errors
+///
+/// Returns [`NoPlace`] when every engine is full, or none can ever hold the
+/// prompt.
+pub fn baseline<K, R>(
+    policy: Policy,
+    spec: &EngineSpec,
+    prompt: &Prompt,
+    candidates: &[Candidate<K>],
+    turn: usize,
+    rng: &mut R,
+) -> Result<Plan<K>, NoPlace>
+where
+    K: Clone,
+    R: Rng,
+{
+    let ordered = in_order(candidates)?;
+    if prompt.tokens + prompt.max_output > spec.kv_tokens {
+        return Err(NoPlace::TooLarge);
+    }
+    let open = ordered.into_iter().filter(|c| c.load.requests < c.slots);
+    let open = open.collect::<Vec<_>>();
+    if open.is_empty() {
+        return Err(NoPlace::Full);
+    }
+    let fewest = |c: &&&Candidate<K>| c.load.requests;
+    let chosen = match policy {
+        Policy::RoundRobin | Policy::Lanes => open.get(turn % open.len()),
+        Policy::LeastRequests => open.iter().min_by_key(fewest),
+        Policy::LeastTokens => {
+            let backlog = |c: &&&Candidate<K>| c.load.backlog_ms;
+            open.iter().min_by(|a, b| backlog(a).total_cmp(&backlog(b)))
+        }
+        Policy::TwoChoices => {
+            let mut draw = || &open[rng.random_range(0..open.len())];
+            [draw(), draw()].into_iter().min_by_key(fewest)
+        }
+    };
+    let chosen = chosen.ok_or(NoPlace::Full)?;
+    let read = read_ms(spec, prompt.tokens, 1);
+    Ok(Plan {
+        first: chosen.key.clone(),
+        helpers: Vec::new(),
+        part_ms: read,
+        part_tokens: 0,
+        predicted_ms: first_event_ms(spec, chosen, read),
+    })
+}
