--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod stream;
 mod wire;
 
+pub use briarhall_policy::policies::Policy;
 pub use briarhall_policy::window_budget::BudgetBound;
 pub use control_plane::ConfigurationChange;
 pub use control_plane::ConfigurationSnapshot;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -15,7 +15,10 @@
 use briarhall_policy::placement::Length;
 use briarhall_policy::placement::NoPlace;
 use briarhall_policy::placement::Plan;
+use briarhall_policy::placement::Prompt;
+use briarhall_policy::policies::Policy;
 use briarhall_policy::rendezvous;
+use briarhall_types::EngineSpec;
 use briarhall_types::ReplicaId;
 use briarhall_types::ReplicaRecord;
 use briarhall_types::Revision;
@@ -133,12 +136,17 @@
         convicted
     }
 
+    fn waits_in_line(&self, spec: &EngineSpec, prompt: &Prompt) -> bool {
+        let in_lanes = self.shared.settings.placement == Policy::Lanes;
+        in_lanes && placement::length(spec, prompt) == Length::Long
+    }
+
     /// Returns how long a prompt would wait in line, when that is more than it
     /// can: its client is better off coming back.
     fn line_too_long(&self, job: &Job, written: u64) -> Option<Duration> {
         let spec = job.engine.as_ref()?;
         let prompt = job.prompt(written);
-        if placement::length(spec, &prompt) != Length::Long {
+        if !self.waits_in_line(spec, &prompt) {
             return None;
         }
         let state = self.shared.state();
@@ -160,7 +168,7 @@
     fn join_line(&self, job: &Job, written: u64) -> Option<InLine> {
         let spec = job.engine.as_ref()?;
         let prompt = job.prompt(written);
-        if placement::length(spec, &prompt) != Length::Long {
+        if !self.waits_in_line(spec, &prompt) {
             return None;
         }
         #[expect(
@@ -214,7 +222,14 @@
             return Err(NoPlace::Full);
         }
         let candidates = candidates(&state, job, sends, &self.shared.settings.zone, now);
-        let plan = choose(job, written, &candidates)?;
+        let plan = match (self.shared.settings.placement, &job.engine) {
+            (Policy::Lanes, _) | (_, None) => choose(job, written, &candidates)?,
+            (policy, Some(spec)) => {
+                let turn = state.next_turn();
+                let prompt = job.prompt(written);
+                placement::baseline(policy, spec, &prompt, &candidates, turn, &mut rand::rng())?
+            }
+        };
         let record = |id: &ReplicaId| state.replicas.get(id).cloned();
         let replica = record(&plan.first).ok_or(NoPlace::NoReplica)?;
         let helpers = plan.helpers.iter().filter_map(record);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use briarhall_policy::peers::VmName;
+use briarhall_policy::policies::Policy;
 use briarhall_policy::window_budget::BudgetBound;
 use briarhall_types::ZoneName;
 
@@ -34,6 +35,8 @@
     pub grace: Duration,
     /// Bound on requests that are sent again.
     pub budget: BudgetBound,
+    /// How engines are chosen.
+    pub placement: Policy,
     /// Levels of the log.
     pub log: String,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -79,6 +79,7 @@
     pub in_flight: usize,
     budgets: HashMap<ServiceName, WindowBudget>,
     sequence: u64,
+    turn: usize,
 }
 
 /// Shares the control state between the tasks of a gateway.
@@ -114,6 +115,7 @@
             in_flight: 0,
             budgets: HashMap::new(),
             sequence: 0,
+            turn: 0,
         };
         let shared = Self {
             settings,
@@ -245,6 +247,13 @@
         }
     }
 
+    /// Returns how many choices were made by turns, and counts one more.
+    pub fn next_turn(&mut self) -> usize {
+        let turn = self.turn;
+        self.turn = turn.wrapping_add(1);
+        turn
+    }
+
     /// Notes that a replica is gone or cannot be reached. What broke off there
     /// shortly before was on board of a crash.
     pub fn note_crash(&mut self, id: &ReplicaId, evidence: &str) {
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -22,8 +22,6 @@
 use briarhall_types::LoadReport;
 use briarhall_types::Objective;
 use compact_str::CompactString;
-use serde::Deserialize;
-use serde::Serialize;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
@@ -35,6 +33,8 @@
 pub use queries::NoEndpoint;
 pub use queries::Openings;
 
+use crate::policies::Policy;
+
 new_key_type! {
     /// Key of an endpoint.
     pub struct EndpointKey;
@@ -42,22 +42,6 @@
     pub struct AttemptKey;
 }
 
-/// How endpoints are chosen. All but [`Policy::Lanes`] are baselines for
-/// comparison.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Policy {
-    /// One after the other.
-    RoundRobin,
-    /// Fewest requests in flight.
-    LeastRequests,
-    /// Fewest queued tokens.
-    LeastTokens,
-    /// Shortest predicted time to first token, with lanes by length.
-    #[default]
-    Lanes,
-}
-
 /// What a request asks of an endpoint.
 #[derive(Debug, Clone)]
 pub struct Want {
--- a/crates/policy/src/fleet/queries.rs
+++ b/crates/policy/src/fleet/queries.rs
@@ -9,6 +9,7 @@
 use briarhall_types::Objective;
 use rand::Rng;
 use rand::RngExt;
+use rand::seq::IndexedRandom;
 use thiserror::Error;
 
 use super::Endpoint;
@@ -16,10 +17,10 @@
 use super::Fleet;
 use super::Group;
 use super::Load;
-use super::Policy;
 use super::Want;
 use super::lanes::is_long;
 use crate::gang::Room;
+use crate::policies::Policy;
 
 /// Endpoints looked at in the request's own lane.
 const OWN_LANE_CANDIDATES: usize = 5;
@@ -97,6 +98,12 @@
             Policy::RoundRobin => self.next_in_turn(group, want, now),
             Policy::LeastRequests => self.best(&group.keys, want, now, |_, load| load.requests),
             Policy::LeastTokens => self.best(&group.keys, want, now, |_, load| load.queued),
+            Policy::TwoChoices => {
+                let usable = |key: &&EndpointKey| self.is_usable(**key, want, now);
+                let usable = group.keys.iter().filter(usable).collect::<Vec<_>>();
+                let drawn = usable.sample(rng, 2).copied();
+                self.best(drawn, want, now, |_, load| load.requests)
+            }
             Policy::Lanes => self.by_lane(group, want, rng, now),
         };
         let best = best.ok_or(NoEndpoint::AllDown)?;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod members;
 pub mod peers;
 pub mod placement;
+pub mod policies;
 pub mod rendezvous;
 pub mod replicas;
 pub mod retry;
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -6,6 +6,7 @@
 //! cut into parts. So the engines part into a lane for short prompts and one
 //! for long ones by themselves, and the border follows the load within moments.
 
+mod baseline;
 mod cost;
 mod long;
 mod short;
@@ -13,6 +14,7 @@
 use briarhall_types::EngineSpec;
 use thiserror::Error;
 
+pub use self::baseline::baseline;
 pub use self::long::Urgency;
 pub use self::long::long;
 pub use self::long::medium;
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use briarhall_policy::fleet::Policy;
+use briarhall_policy::policies::Policy;
 use briarhall_types::Digest;
 use briarhall_types::ZoneName;
 use briarhall_types::parse_duration;
