The lab's stand-in engine keeps to the engine model

Cause: the stand-in read prompts in proportion to length and in single steps, so nothing learned on it about long prompts held on the users' engines, where reading costs pairs of tokens and a pass has many steps.

Now it takes its figures from an EngineSpec and its costs from the functions with which gateways predict (policy::engine): passes, chunks, parts for other engines first, slots.

--- a/crates/endpoint/src/wire.rs
+++ b/crates/endpoint/src/wire.rs
@@ -70,6 +70,10 @@
 pub struct PrefillCall {
     /// Tokens of the prompt to prefill into the reservation.
     pub tokens: u64,
+    /// Tokens of the whole prompt, on which the part looks back; none when it is
+    /// not known.
+    #[serde(default)]
+    pub whole_tokens: u64,
     /// Lower runs first.
     pub priority: i64,
 }
--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -53,8 +53,15 @@
     #[argh(switch)]
     pub json: bool,
     /// policies, with commas
-    #[argh(option, default = "\"round-robin,least-requests,lanes\".to_owned()")]
+    #[argh(
+        option,
+        default = "\"round-robin,least-requests,two-choices,lanes\".to_owned()"
+    )]
     pub policies: String,
+    /// what the engines are: `sheet`, as the users' engines, or `plain`, with
+    /// prefill in proportion to length
+    #[argh(option, default = "\"sheet\".to_owned()")]
+    pub engine: String,
     /// objectives of both contracts, with commas
     #[argh(option, default = "\"short-slowdown\".to_owned()")]
     pub objectives: String,
@@ -73,6 +80,10 @@
     /// lag of load reports, in milliseconds of real time
     #[argh(option, default = "50")]
     pub report_lag_ms: u64,
+    /// prompts of a million tokens in each run; one takes an engine of the sheet
+    /// over a minute
+    #[argh(option, default = "1")]
+    pub giants: u64,
     /// kill an engine half-way through each run
     #[argh(switch)]
     pub kill_engine: bool,
--- a/crates/lab/src/chaos.rs
+++ b/crates/lab/src/chaos.rs
@@ -10,7 +10,7 @@
 use briarhall_lab::run::Lab;
 use briarhall_lab::site::CustomerSpec;
 use briarhall_lab::site::Endpoint;
-use briarhall_lab::site::PREFILL_RATE;
+use briarhall_lab::site::EngineKind;
 use briarhall_lab::site::Site;
 use briarhall_lab::site::SiteError;
 use briarhall_lab::site::SiteSpec;
@@ -156,7 +156,8 @@
     LoadSpec {
         seed: args.seed,
         duration: Duration::from_secs(args.seconds),
-        capacity: ENGINES as f64 * PREFILL_RATE * TIME_SCALE,
+        capacity: ENGINES as f64 * EngineKind::PLAIN.prefill_rate * TIME_SCALE,
+        squared: EngineKind::PLAIN.squared,
         part: LOAD_PART,
         top_ups_per_second: 10.0,
         giants: 1,
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -10,7 +10,7 @@
 use briarhall_lab::load::without_long;
 use briarhall_lab::run::Lab;
 use briarhall_lab::site::CustomerSpec;
-use briarhall_lab::site::PREFILL_RATE;
+use briarhall_lab::site::EngineKind;
 use briarhall_lab::site::Site;
 use briarhall_lab::site::SiteSpec;
 use serde::Serialize;
@@ -101,7 +101,8 @@
     LoadSpec {
         seed,
         duration: PHASE,
-        capacity: ENGINES as f64 * PREFILL_RATE * TIME_SCALE,
+        capacity: ENGINES as f64 * EngineKind::PLAIN.prefill_rate * TIME_SCALE,
+        squared: EngineKind::PLAIN.squared,
         part: LOAD_PART,
         top_ups_per_second: 20.0,
         giants: 2,
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -13,7 +13,7 @@
 use briarhall_lab::load::without_long;
 use briarhall_lab::run::Lab;
 use briarhall_lab::site::CustomerSpec;
-use briarhall_lab::site::PREFILL_RATE;
+use briarhall_lab::site::EngineKind;
 use briarhall_lab::site::Site;
 use briarhall_lab::site::SiteSpec;
 use serde::Serialize;
@@ -23,11 +23,11 @@
 
 const ENGINES: usize = 20;
 const SERVICES: usize = 1;
-const TIME_SCALE: f64 = 10.0;
 
 /// One line of the table: a setting, over all seeds.
 #[derive(Debug, Clone)]
 struct Setting {
+    engine: EngineKind,
     policy: String,
     objective: String,
     load_percent: u64,
@@ -53,6 +53,7 @@
 
 #[derive(Debug, Serialize)]
 struct Report {
+    engine: &'static str,
     time_scale: f64,
     engines: usize,
     seeds: Vec<u64>,
@@ -68,8 +69,9 @@
 pub fn run(args: &ExperimentArgs) -> Result<(), LabError> {
     let lab = Lab::start()?;
     let seeds = numbers(&args.seeds)?;
+    let engine = engine(args)?;
     let mut rows = Vec::new();
-    for setting in settings(args)? {
+    for setting in settings(args, engine)? {
         let row = async_io::block_on(measure(&lab, args, &setting, &seeds))?;
         if !args.json {
             print(&row, rows.is_empty());
@@ -78,7 +80,8 @@
     }
     let clean = rows.iter().all(|row| row.counts.is_clean());
     let report = Report {
-        time_scale: TIME_SCALE,
+        engine: engine.name,
+        time_scale: time_scale(engine),
         engines: ENGINES,
         seeds,
         load_report_lag_ms: args.report_lag_ms,
@@ -94,13 +97,30 @@
     }
 }
 
-fn settings(args: &ExperimentArgs) -> Result<Vec<Setting>, LabError> {
+/// Simulated seconds in one real second: engines of the sheet keep real time, as
+/// their passes are short.
+fn time_scale(engine: EngineKind) -> f64 {
+    if engine == EngineKind::SHEET {
+        1.0
+    } else {
+        10.0
+    }
+}
+
+fn engine(args: &ExperimentArgs) -> Result<EngineKind, LabError> {
+    let name = &args.engine;
+    let unknown = || LabError::Usage(format!("`{name}` is no engine; use plain or sheet"));
+    EngineKind::named(name).ok_or_else(unknown)
+}
+
+fn settings(args: &ExperimentArgs, engine: EngineKind) -> Result<Vec<Setting>, LabError> {
     let mut settings = Vec::new();
     for routers in numbers(&args.routers)? {
         for load_percent in numbers(&args.loads)? {
             for objective in args.objectives.split(',') {
                 for policy in args.policies.split(',') {
                     settings.push(Setting {
+                        engine,
                         policy: policy.to_owned(),
                         objective: objective.to_owned(),
                         load_percent,
@@ -171,7 +191,8 @@
         routers: setting.routers,
         engines: ENGINES,
         services: SERVICES,
-        time_scale: TIME_SCALE,
+        engine: setting.engine,
+        time_scale: time_scale(setting.engine),
         policy: setting.policy.clone(),
         report_lag: Duration::from_millis(args.report_lag_ms),
         log: "warn".to_owned(),
@@ -202,10 +223,11 @@
     LoadSpec {
         seed,
         duration: Duration::from_secs(args.seconds),
-        capacity: ENGINES as f64 * PREFILL_RATE * TIME_SCALE,
+        capacity: ENGINES as f64 * setting.engine.prefill_rate * time_scale(setting.engine),
+        squared: setting.engine.squared,
         part: setting.load_percent as f64 / 100.0,
         top_ups_per_second: 5.0,
-        giants: 1,
+        giants: args.giants,
         customers: 2,
     }
 }
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -71,6 +71,8 @@
     pub duration: Duration,
     /// Prefill capacity of the fleet, in tokens a second of real time.
     pub capacity: f64,
+    /// Tokens that a prompt costs beyond its length, for each token squared.
+    pub squared: f64,
     /// Part of the capacity to use.
     pub part: f64,
     /// Top-ups a second.
@@ -86,7 +88,7 @@
 pub fn arrivals(spec: &LoadSpec) -> Vec<Arrival> {
     let mut rng = StdRng::seed_from_u64(spec.seed);
     let mut arrivals = Vec::new();
-    let rate = spec.part * spec.capacity / mean_work();
+    let rate = spec.part * spec.capacity / mean_work(spec.squared);
     for at in times(&mut rng, rate, spec.duration) {
         let tokens = prompt_tokens(&mut rng);
         let max_tokens = rng.random_range(16..64);
@@ -168,9 +170,11 @@
 }
 
 #[expect(clippy::cast_precision_loss, reason = "lengths are far below 2^52")]
-fn mean_work() -> f64 {
-    let means = CLASSES
-        .iter()
-        .map(|c| c.part * (c.min + c.max) as f64 / 2.0);
+fn mean_work(squared: f64) -> f64 {
+    let means = CLASSES.iter().map(|class| {
+        let (min, max) = (class.min as f64, class.max as f64);
+        let mean_square = (max * max + max * min + min * min) / 3.0;
+        class.part * (f64::midpoint(min, max) + squared * mean_square)
+    });
     means.sum::<f64>() + 40.0 * DECODE_TOKEN_COST
 }
--- a/crates/lab/src/site/mod.rs
+++ b/crates/lab/src/site/mod.rs
@@ -36,8 +36,42 @@
 
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const READY_POLL: Duration = Duration::from_millis(50);
-/// Prefill rate of the stand-in engine in its own time, in tokens a second.
-pub const PREFILL_RATE: f64 = 16_700.0;
+
+/// What the stand-in engines of a site are.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineKind {
+    /// As the stand-in names it.
+    pub name: &'static str,
+    /// Prefill rate in its own time, in tokens a second, beside some writers.
+    pub prefill_rate: f64,
+    /// Tokens of prefill that a prompt costs beyond its length, for each token
+    /// squared.
+    pub squared: f64,
+}
+
+impl EngineKind {
+    /// Prefill in proportion to length.
+    pub const PLAIN: Self = Self {
+        name: "plain",
+        prefill_rate: 16_700.0,
+        squared: 0.0,
+    };
+    /// The engine of the users' sheet: 154 tokens a millisecond, and 0.162 ms for
+    /// a million pairs of a token and an earlier one.
+    pub const SHEET: Self = Self {
+        name: "sheet",
+        prefill_rate: 154_000.0,
+        squared: 154.0 * 0.162 / 2.0 / 1e6,
+    };
+
+    /// Returns the engine of that name.
+    #[must_use]
+    pub fn named(name: &str) -> Option<Self> {
+        [Self::PLAIN, Self::SHEET]
+            .into_iter()
+            .find(|k| k.name == name)
+    }
+}
 
 /// What to start.
 #[derive(Debug, Clone)]
@@ -52,6 +86,8 @@
     pub services: usize,
     /// Stewards, spread over the zones.
     pub stewards: usize,
+    /// What the engines are.
+    pub engine: EngineKind,
     /// Simulated seconds that pass at an engine in one real second.
     pub time_scale: f64,
     /// KV memory of an engine, in tokens.
@@ -83,6 +119,7 @@
             engines: 4,
             services: 1,
             stewards: 0,
+            engine: EngineKind::PLAIN,
             time_scale: 10.0,
             kv_tokens: 400_000,
             policy: "lanes".to_owned(),
--- a/crates/lab/src/site/start.rs
+++ b/crates/lab/src/site/start.rs
@@ -11,7 +11,6 @@
 use super::Endpoint;
 use super::MODEL;
 use super::OPERATOR_KEY;
-use super::PREFILL_RATE;
 use super::Process;
 use super::ProxiedAddress;
 use super::Router;
@@ -28,6 +27,8 @@
     /// Returns an error when it does not start.
     pub async fn start_engine(&mut self, number: usize) -> Result<(), SiteError> {
         let mut args = vec![
+            "--model".to_owned(),
+            self.spec.engine.name.to_owned(),
             "--time-scale".to_owned(),
             self.spec.time_scale.to_string(),
             "--kv-tokens".to_owned(),
@@ -77,7 +78,7 @@
         let address = process.address("listening")?;
         let proxy = self.proxy(name, Some(address)).await?;
         let engine = kind == EndpointKind::Engine;
-        let rate = (PREFILL_RATE * self.spec.time_scale) as u64;
+        let rate = (self.spec.engine.prefill_rate * self.spec.time_scale) as u64;
         let record = EndpointRecord {
             name: CompactString::from(name),
             kind,
--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -245,6 +245,7 @@
             seed: 1,
             duration: seconds,
             capacity: 12.0 * 167_000.0 * 4.0,
+            squared: 0.0,
             part,
             top_ups_per_second: 0.0,
             giants: 0,
--- a/crates/lab/tests/tests/leaving.rs
+++ b/crates/lab/tests/tests/leaving.rs
@@ -88,6 +88,7 @@
             seed: 5,
             duration: Duration::from_secs(22),
             capacity: 6.0 * 167_000.0,
+            squared: 0.0,
             part: 0.2,
             top_ups_per_second: 3.0,
             giants: 0,
--- a/crates/lab/tests/tests/memory.rs
+++ b/crates/lab/tests/tests/memory.rs
@@ -225,6 +225,7 @@
         let to = bench.site.engines[&1].address;
         let prefill = PrefillCall {
             tokens: 20_000,
+            whole_tokens: 20_000,
             priority: 0,
         };
         let path = "/v1/reservations/moved/prefill";
--- a/crates/router/src/traffic/gang.rs
+++ b/crates/router/src/traffic/gang.rs
@@ -268,6 +268,7 @@
             left -= tokens;
             let call = PrefillCall {
                 tokens,
+                whole_tokens: job.req.tokens,
                 priority: plan.priority,
             };
             calls.push((part, call));
--- a/crates/standins/src/bin/standin-engine.rs
+++ b/crates/standins/src/bin/standin-engine.rs
@@ -7,10 +7,10 @@
 use argh::FromArgs;
 use briarhall_net::ServerOptions;
 use briarhall_net::serve;
-use briarhall_standins::engine::Cost;
 use briarhall_standins::engine::EngineHandler;
 use briarhall_standins::engine::EngineOptions;
 use briarhall_standins::engine::Limits;
+use briarhall_standins::engine::Model;
 use briarhall_standins::run;
 use mimalloc::MiMalloc;
 
@@ -26,6 +26,9 @@
     /// address to listen on; port 0 takes a free one
     #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 0))")]
     listen: SocketAddr,
+    /// what a pass costs: `plain`, or `sheet` as the users' engines
+    #[argh(option, default = "Model::default()")]
+    model: Model,
     /// simulated seconds in one real second
     #[argh(option, default = "10.0")]
     time_scale: f64,
@@ -46,7 +49,7 @@
 fn main() -> ExitCode {
     let args = argh::from_env::<Args>();
     let options = EngineOptions {
-        cost: Cost::default(),
+        model: args.model,
         limits: Limits {
             kv_tokens: args.kv_tokens,
             ..Limits::default()
--- a/crates/standins/src/engine/http.rs
+++ b/crates/standins/src/engine/http.rs
@@ -44,8 +44,8 @@
 use hyper::header::HeaderValue;
 
 use super::cache::block_chain;
-use super::simulation::Cost;
 use super::simulation::Limits;
+use super::simulation::Model;
 use super::simulation::Refusal;
 use super::simulation::Submission;
 use super::state::CacheEvent;
@@ -64,8 +64,8 @@
 /// How the engine behaves.
 #[derive(Debug, Clone, Copy)]
 pub struct EngineOptions {
-    /// Costs of a step.
-    pub cost: Cost,
+    /// What a pass costs.
+    pub model: Model,
     /// Sizes.
     pub limits: Limits,
     /// Simulated seconds that pass in one real second.
@@ -111,15 +111,15 @@
     /// Gives the simulation its time, for ever.
     pub async fn run_clock(self) {
         loop {
-            let step = self.state().simulation.begin_step();
+            let pass = self.state().simulation.begin_pass();
             self.record_load();
-            let Some(duration) = step else {
+            let Some(duration) = pass else {
                 self.wait_for_work().await;
                 continue;
             };
             let real = duration.div_f64(self.options.time_scale);
             Timer::after(real.max(MIN_SLEEP)).await;
-            self.finish_step();
+            self.finish_pass();
         }
     }
 
@@ -130,9 +130,9 @@
         let _either = briarhall_net::timeout(IDLE_WAIT, rx.recv()).await;
     }
 
-    fn finish_step(&self) {
+    fn finish_pass(&self) {
         let mut state = self.state();
-        let progress = state.simulation.end_step();
+        let progress = state.simulation.end_pass();
         for p in progress {
             state.publish(p, self.options.lost_events_percent);
         }
@@ -262,6 +262,7 @@
             id: id.clone(),
             priority: call.priority,
             prompt_tokens: prompt_tokens.saturating_sub(held_elsewhere + held_here),
+            whole_tokens: prompt_tokens,
             max_tokens: call.max_tokens,
             resume_from: call.resume_from,
             reservation: call.reservation.clone(),
@@ -476,6 +477,7 @@
             id: id.clone(),
             priority: call.priority,
             prompt_tokens: call.tokens,
+            whole_tokens: call.whole_tokens.max(call.tokens),
             max_tokens: 0,
             resume_from: 0,
             reservation: Some(id.clone()),
--- a/crates/standins/src/engine/simulation.rs
+++ b/crates/standins/src/engine/simulation.rs
@@ -1,8 +1,16 @@
 //! Continuous batching with chunked prefill, priorities and KV memory.
+//!
+//! An engine works in passes, and what a pass costs is computed by the same
+//! functions with which gateways predict it ([`engine`]). Unlike the users'
+//! engines it sets memory aside for a whole answer when a request starts, so that
+//! nothing is preempted.
 
 use std::collections::HashMap;
+use std::str::FromStr;
 use std::time::Duration;
 
+use briarhall_policy::engine;
+use briarhall_types::EngineSpec;
 use briarhall_types::LengthClass;
 use briarhall_types::LoadReport;
 use compact_str::CompactString;
@@ -18,34 +26,74 @@
     pub struct WorkKey;
 }
 
-/// What a step costs, in the engine's own time.
-#[derive(Debug, Clone, Copy)]
-pub struct Cost {
-    /// Each step.
-    pub step: Duration,
-    /// Each prompt token prefilled.
-    pub prefill_token: Duration,
-    /// Each sequence in the decode batch.
-    pub decode_sequence: Duration,
+/// Engines that the stand-in can be.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Model {
+    /// Steps of 10 ms and more, prefill in proportion to length.
+    #[default]
+    Plain,
+    /// The engine of the users' sheet: passes of many steps, prefill that costs
+    /// more than in proportion to length, parts for other engines first.
+    Sheet,
 }
 
-impl Default for Cost {
-    fn default() -> Self {
-        Self {
-            step: Duration::from_millis(10),
-            prefill_token: Duration::from_micros(50),
-            decode_sequence: Duration::from_micros(100),
+/// Says that a text names no engine.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("`{0}` is no engine; use plain or sheet")]
+pub struct UnknownModel(String);
+
+impl FromStr for Model {
+    type Err = UnknownModel;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "plain" => Ok(Self::Plain),
+            "sheet" => Ok(Self::Sheet),
+            _ => Err(UnknownModel(text.to_owned())),
         }
     }
 }
 
+impl Model {
+    /// Returns the engine's figures.
+    #[must_use]
+    pub fn spec(self) -> EngineSpec {
+        match self {
+            Self::Plain => EngineSpec {
+                slots: 256,
+                kv_tokens: 400_000,
+                stride: 1,
+                step_ms: 10.0,
+                per_writer_ms: 0.1,
+                context_per_k_ms: 0.0,
+                read_per_ms: 20.0,
+                pairs_per_m_ms: 0.0,
+                chunk: 1_024,
+            },
+            Self::Sheet => EngineSpec {
+                slots: 16,
+                kv_tokens: 405_000,
+                stride: 34,
+                step_ms: 1.31,
+                per_writer_ms: 0.000_917,
+                context_per_k_ms: 0.002_13,
+                read_per_ms: 154.0,
+                pairs_per_m_ms: 0.162,
+                chunk: 2_048,
+            },
+        }
+    }
+
+    fn parts_first(self) -> bool {
+        self == Self::Sheet
+    }
+}
+
 /// Sizes of the engine.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
     /// KV memory, in tokens.
     pub kv_tokens: u64,
-    /// Prompt tokens prefilled in one step, over all requests.
-    pub chunk_tokens: u64,
     /// Requests that may wait or run.
     pub max_requests: usize,
     /// Blocks in the prefix cache.
@@ -56,7 +104,6 @@
     fn default() -> Self {
         Self {
             kv_tokens: 400_000,
-            chunk_tokens: 1_024,
             max_requests: 256,
             cache_blocks: 200,
         }
@@ -97,6 +144,8 @@
     pub priority: i64,
     /// Tokens of the prompt still to prefill here.
     pub prompt_tokens: u64,
+    /// Tokens of the whole prompt, which those look back on.
+    pub whole_tokens: u64,
     /// Tokens to generate.
     pub max_tokens: u64,
     /// First token to generate.
@@ -114,14 +163,31 @@
     memory: u64,
     running: bool,
     prefill_left: u64,
+    /// Tokens of the prompt before the next one to prefill.
+    position: u64,
     produced: u64,
-    step_prefill: u64,
+    pass_prefill: u64,
     short: bool,
 }
 
 impl Work {
-    fn order(&self) -> (i64, u64) {
-        (self.submission.priority, self.sequence)
+    /// Order in which work gets memory and is prefilled.
+    fn order(&self, parts_first: bool) -> (bool, i64, u64) {
+        let later = parts_first && !self.is_part();
+        (later, self.submission.priority, self.sequence)
+    }
+
+    /// Whether it is prefilled for another engine.
+    fn is_part(&self) -> bool {
+        self.submission.reservation.as_ref() == Some(&self.submission.id)
+    }
+
+    fn writes(&self) -> bool {
+        self.running && self.prefill_left == 0
+    }
+
+    fn context(&self) -> u64 {
+        self.submission.whole_tokens + self.produced
     }
 
     fn done(&self) -> bool {
@@ -140,23 +206,26 @@
     pub prefilled: u64,
 }
 
-/// What a finished step brought to one request.
+/// What a finished pass brought to one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Progress {
     /// The request.
     pub id: CompactString,
     /// Tokens generated so far, counted from the first of the answer.
     pub produced: u64,
-    /// Whether prefill ended in this step.
+    /// Whether prefill ended in this pass.
     pub prefilled: bool,
-    /// Whether it ended in this step.
+    /// Whether it ended in this pass.
     pub done: bool,
 }
 
 /// One engine, driven by whoever holds the clock.
 #[derive(Debug)]
 pub struct Simulation {
-    cost: Cost,
+    model: Model,
+    spec: EngineSpec,
+    /// Steps of the pass that runs.
+    steps: u64,
     limits: Limits,
     work: SlotMap<WorkKey, Work>,
     by_id: HashMap<CompactString, WorkKey>,
@@ -173,9 +242,11 @@
 impl Simulation {
     /// Creates an idle engine.
     #[must_use]
-    pub fn new(cost: Cost, limits: Limits) -> Self {
+    pub fn new(model: Model, limits: Limits) -> Self {
         Self {
-            cost,
+            model,
+            spec: model.spec(),
+            steps: 1,
             limits,
             work: SlotMap::with_key(),
             by_id: HashMap::new(),
@@ -207,6 +278,10 @@
         let prefill_left = submission.prompt_tokens.saturating_sub(cached).max(1);
         self.cached_tokens += submission.prompt_tokens - prefill_left.min(submission.prompt_tokens);
         self.sequence += 1;
+        // Even shares of a prompt look back on half of the rest each.
+        let elsewhere = submission
+            .whole_tokens
+            .saturating_sub(submission.prompt_tokens);
         let id = submission.id.clone();
         let key = self.work.insert(Work {
             short: LengthClass::of(submission.prompt_tokens) == LengthClass::Short,
@@ -216,7 +291,8 @@
             memory,
             running: false,
             prefill_left,
-            step_prefill: 0,
+            position: elsewhere / 2 + cached,
+            pass_prefill: 0,
         });
         self.by_id.insert(id, key);
         Ok(())
@@ -344,38 +420,52 @@
         self.by_id.contains_key(id)
     }
 
-    /// Plans the next step and returns how long it takes, or nothing when the
+    /// Plans the next pass and returns how long it takes, or nothing when the
     /// engine is idle.
-    pub fn begin_step(&mut self) -> Option<Duration> {
+    pub fn begin_pass(&mut self) -> Option<Duration> {
+        let parts_first = self.model.parts_first();
         let mut order = self.work.keys().collect::<Vec<_>>();
-        order.sort_unstable_by_key(|key| self.work[*key].order());
+        order.sort_unstable_by_key(|key| self.work[*key].order(parts_first));
         self.give_memory(&order);
-        let mut budget = self.limits.chunk_tokens;
-        let mut prefilled = 0;
-        let mut decoding = 0;
+        let writing = self.work.values().filter(|work| work.writes());
+        let writers = writing.clone().count();
+        let context = writing.map(Work::context).sum();
+        self.steps = if writers == 0 {
+            1
+        } else {
+            u64::from(self.spec.stride.max(1))
+        };
+        let mut budget = u64::from(self.spec.chunk) * self.steps;
+        let mut read_ms = 0.0;
+        let mut reading = 0;
         for key in order {
             let work = &mut self.work[key];
-            if !work.running {
+            if !work.running || work.prefill_left == 0 {
                 continue;
             }
-            if work.prefill_left == 0 {
-                decoding += 1;
-                continue;
-            }
-            work.step_prefill = work.prefill_left.min(budget);
-            budget -= work.step_prefill;
-            prefilled += work.step_prefill;
+            work.pass_prefill = work.prefill_left.min(budget);
+            budget -= work.pass_prefill;
+            reading += work.pass_prefill;
+            read_ms += engine::read_from_ms(&self.spec, work.position, work.pass_prefill);
         }
-        if prefilled == 0 && decoding == 0 {
+        if reading == 0 && writers == 0 {
             return None;
         }
-        let prefill = self.cost.prefill_token * u32::try_from(prefilled).unwrap_or(u32::MAX);
-        Some(self.cost.step + prefill + self.cost.decode_sequence * decoding)
+        let write_ms = if writers == 0 {
+            engine::step_ms(&self.spec, 0, 0)
+        } else {
+            engine::write_pass_ms(&self.spec, writers, context)
+        };
+        Some(Duration::from_secs_f64((write_ms + read_ms) / 1_000.0))
     }
 
     /// Requests get memory strictly in order: one that does not fit holds up
     /// all behind it, as engines do.
     fn give_memory(&mut self, order: &[WorkKey]) {
+        let takes_slot = |work: &Work| !work.is_part();
+        let taken = self.work.values().filter(|w| w.running && takes_slot(w));
+        let mut free = usize::try_from(self.spec.slots).unwrap_or(usize::MAX);
+        free = free.saturating_sub(taken.count());
         for key in order {
             let work = &self.work[*key];
             if work.running {
@@ -385,6 +475,12 @@
             if self.kv_used + memory > self.limits.kv_tokens {
                 break;
             }
+            if takes_slot(work) {
+                if free == 0 {
+                    continue;
+                }
+                free -= 1;
+            }
             self.take_memory(memory);
             self.started += 1;
             self.work[*key].running = true;
@@ -396,13 +492,14 @@
         self.kv_peak = self.kv_peak.max(self.kv_used);
     }
 
-    /// Ends the step that was planned and returns what it brought.
-    pub fn end_step(&mut self) -> Vec<Progress> {
+    /// Ends the pass that was planned and returns what it brought.
+    pub fn end_pass(&mut self) -> Vec<Progress> {
         let mut progress = Vec::new();
         for work in self.work.values_mut().filter(|work| work.running) {
-            if work.step_prefill > 0 {
-                work.prefill_left -= work.step_prefill;
-                work.step_prefill = 0;
+            if work.pass_prefill > 0 {
+                work.prefill_left -= work.pass_prefill;
+                work.position += work.pass_prefill;
+                work.pass_prefill = 0;
                 if work.prefill_left > 0 {
                     continue;
                 }
@@ -410,7 +507,8 @@
                 work.produced += u64::from(work.submission.max_tokens > work.produced);
                 progress.push(Self::progress(work, true));
             } else if work.prefill_left == 0 {
-                work.produced += 1;
+                let left = work.submission.max_tokens.saturating_sub(work.produced);
+                work.produced += self.steps.min(left);
                 progress.push(Self::progress(work, false));
             }
         }
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -65,7 +65,7 @@
     /// Creates the state of an idle engine.
     pub(super) fn new(options: &EngineOptions) -> Self {
         Self {
-            simulation: Simulation::new(options.cost, options.limits),
+            simulation: Simulation::new(options.model, options.limits),
             streams: HashMap::new(),
             finished: VecDeque::new(),
             owners: HashMap::new(),
