--- a/crates/objects/src/error.rs
+++ b/crates/objects/src/error.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
+use briarhall_net::HttpError;
+use briarhall_net::Phase;
 use briarhall_types::Revision;
+use hyper::StatusCode;
 use thiserror::Error;
 
 /// Says why a call to the platform gave no result.
@@ -53,3 +56,31 @@
         matches!(self, Self::Uncertain { .. } | Self::Malformed { .. })
     }
 }
+
+impl From<&HttpError> for PlatformError {
+    /// A call that was not sent changed nothing; one that was may have.
+    fn from(e: &HttpError) -> Self {
+        let reason = e.to_string();
+        match e.phase() {
+            Phase::BeforeSend => Self::Unavailable { reason },
+            Phase::AfterSend => Self::Uncertain { reason },
+        }
+    }
+}
+
+impl PlatformError {
+    /// Returns what a failed call's status says; `current` is the version that a
+    /// conflict names.
+    #[must_use]
+    pub fn from_status(code: StatusCode, current: Option<Revision>, retry_after: Duration) -> Self {
+        let reason = || format!("status {code}");
+        match code {
+            StatusCode::CONFLICT => Self::Conflict { current },
+            StatusCode::NOT_FOUND => Self::NotFound,
+            StatusCode::GONE => Self::Expired,
+            StatusCode::TOO_MANY_REQUESTS => Self::Limited { retry_after },
+            StatusCode::SERVICE_UNAVAILABLE => Self::Unavailable { reason: reason() },
+            _ => Self::Uncertain { reason: reason() },
+        }
+    }
+}
--- a/crates/objects/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -5,8 +5,6 @@
 
 use briarhall_net::Call;
 use briarhall_net::HttpClient;
-use briarhall_net::HttpError;
-use briarhall_net::Phase;
 use briarhall_net::read_limited;
 use briarhall_net::timeout;
 use briarhall_types::Revision;
@@ -66,7 +64,7 @@
                 .client
                 .send(call, limit)
                 .await
-                .map_err(|e| from_http(&e))?;
+                .map_err(|e| PlatformError::from(&e))?;
             let code = reply.status();
             let retry_after = reply
                 .headers()
@@ -91,33 +89,11 @@
     }
 }
 
-fn from_http(e: &HttpError) -> PlatformError {
-    let reason = e.to_string();
-    match e.phase() {
-        Phase::BeforeSend => PlatformError::Unavailable { reason },
-        Phase::AfterSend => PlatformError::Uncertain { reason },
-    }
-}
-
 fn from_status(code: StatusCode, text: &[u8], retry_after: Duration) -> PlatformError {
-    match code {
-        StatusCode::CONFLICT => {
-            let reply = parse::<ConflictReply<Value>>(text).ok();
-            let current = reply.and_then(|reply| reply.current);
-            PlatformError::Conflict {
-                current: current.map(|object| object.version),
-            }
-        }
-        StatusCode::NOT_FOUND => PlatformError::NotFound,
-        StatusCode::GONE => PlatformError::Expired,
-        StatusCode::TOO_MANY_REQUESTS => PlatformError::Limited { retry_after },
-        StatusCode::SERVICE_UNAVAILABLE => PlatformError::Unavailable {
-            reason: format!("status {code}"),
-        },
-        _ => PlatformError::Uncertain {
-            reason: format!("status {code}"),
-        },
-    }
+    let reply = parse::<ConflictReply<Value>>(text).ok();
+    let current = reply.and_then(|reply| reply.current);
+    let current = current.map(|object| object.version);
+    PlatformError::from_status(code, current, retry_after)
 }
 
 fn parse<T>(text: &[u8]) -> Result<T, PlatformError>
