Logs say that a client left before its answer began

Cause: tracing the stopped gateway, requests whose clients had left showed a 'placed' line and then nothing: the server drops the request with its connection, and nobody said so. The line about dropped lines had no 'kv', so it was no event for whoever reads the log; it has the shape of the others now.

Ruled out: a line from the sender of the attempt, which is dropped before it knows why.

--- a/crates/gateway/src/client_request.rs
+++ b/crates/gateway/src/client_request.rs
@@ -14,6 +14,7 @@
 use briarhall_types::Organisation;
 use briarhall_types::Route;
 use briarhall_types::RouteKind;
+use compact_str::CompactString;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -28,6 +29,7 @@
 use crate::job::ends;
 use crate::plain;
 use crate::state::InFlight;
+use crate::state::Shared;
 use crate::stream;
 use crate::wire::RequestHead;
 use crate::wire::Wire;
@@ -46,6 +48,45 @@
     organisation: Option<Arc<Organisation>>,
 }
 
+/// A client that waits for the head of its answer. The server drops this with
+/// the request when the client leaves.
+struct Waiting {
+    shared: Arc<Shared>,
+    id: CompactString,
+    arrived: Instant,
+    answered: bool,
+}
+
+impl Waiting {
+    fn new(shared: &Arc<Shared>, id: &str, arrived: Instant) -> Self {
+        Self {
+            shared: Arc::clone(shared),
+            id: CompactString::from(id),
+            arrived,
+            answered: false,
+        }
+    }
+
+    fn ends(mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        self.shared.metrics.count("client_left");
+        log::info!(
+            event = "client_left",
+            request = self.id.as_str(),
+            total_ms = elapsed_ms(self.arrived);
+            "the client left before an answer began"
+        );
+    }
+}
+
 impl<W> Handler for ClientRequests<W>
 where
     W: Wire,
@@ -56,7 +97,9 @@
         let answered = match self.sender.wire.request_head(&parts) {
             Ok(head) => {
                 let id = head.id.clone();
+                let waiting = Waiting::new(&self.sender.shared, &id, arrived);
                 let served = self.serve(arrived, parts, head, body).await;
+                waiting.ends();
                 served.inspect_err(|e| self.refuse(&id, e, arrived))
             }
             Err(problem) => {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -32,6 +32,7 @@
 pub use logging::LogError;
 pub use logging::LogTarget;
 pub use logging::Logging;
+pub use logging::dropped_line;
 pub use metrics::Metrics;
 pub use metrics::MetricsError;
 pub use metrics::MetricsService;
--- a/crates/net/src/logging.rs
+++ b/crates/net/src/logging.rs
@@ -125,13 +125,17 @@
     }
 }
 
+/// Returns the line about lines that did not fit, shaped like all others.
+#[must_use]
+pub fn dropped_line(lines: u64) -> String {
+    format!("{{\"level\":\"WARN\",\"kv\":{{\"event\":\"log_dropped\",\"lines\":{lines}}}}}\n")
+}
+
 impl LogWriter for Queue {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
-            let line =
-                format!("{{\"level\":\"WARN\",\"event\":\"log_dropped\",\"lines\":{dropped}}}\n");
-            self.put(line.into_bytes());
+            self.put(dropped_line(dropped).into_bytes());
         }
         let mut line = Vec::with_capacity(256);
         (self.format)(&mut line, now, record)?;
--- /dev/null
+++ b/crates/net/tests/logging.rs
@@ -0,0 +1,13 @@
+//! Lines of the log that the program writes about the log itself.
+
+use briarhall_net::dropped_line;
+use serde_json::Value;
+
+#[test]
+fn the_line_about_dropped_lines_is_shaped_like_all_others() {
+    let line = dropped_line(7);
+    assert!(line.ends_with('\n'));
+    let line = serde_json::from_str::<Value>(&line).expect("it is JSON");
+    assert_eq!(line["kv"]["event"], "log_dropped");
+    assert_eq!(line["kv"]["lines"], 7);
+}
