A store whose watches cannot begin is not flooded

Cause: an expired watch was followed by a fresh list and the next watch at once. Where the store keeps forgetting what it has just listed (stale lists after a compaction, or a store that answers so for its own reasons), a gateway asked without any pause.

Now an expired watch pauses as a failed call does, and only a watch that began resets the pause; what is written meanwhile is still in force from the list. Ruled out: watching on from the old revision, which is what the store has forgotten.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -10,7 +10,8 @@
 /// Time that a watch waits; a silent connection is found by its probes well
 /// before.
 pub const WATCH_WAIT: Duration = Duration::from_secs(10);
-/// Pause after a call that failed, doubled up to [`MAX_PAUSE`].
+/// Pause after a call that failed or a watch that could not begin, doubled up to
+/// [`MAX_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 /// Longest pause between calls: what changed must be in force two seconds after
 /// the store's return.
@@ -48,22 +49,25 @@
         };
         match read {
             Ok(at) => {
-                pause = FIRST_PAUSE;
+                // A list that is read shows nothing of whether a watch can begin.
+                if read_at.is_some() {
+                    pause = FIRST_PAUSE;
+                }
                 read_at = Some(at);
+                continue;
             }
             Err(PlatformError::Expired) => {
                 log::info!(event = "watch_expired", what = F::WHAT; "watch expired");
-                read_at = None;
             }
             Err(e) => {
                 let error = e.to_string();
                 log::info!(event = "store_failed", what = F::WHAT, error = error.as_str(); "store failed");
                 followed.lost();
-                // What was missed while the store was away is read, not waited for.
-                read_at = None;
-                Timer::after(pause).await;
-                pause = (pause * 2).min(MAX_PAUSE);
             }
         }
+        // What was missed is read, not waited for.
+        read_at = None;
+        Timer::after(pause).await;
+        pause = (pause * 2).min(MAX_PAUSE);
     }
 }
