The stand-in's engines have a file of their own

Nothing changes but the place; ruled out: splitting its queries off too, which belong with what they read.

--- a/crates/policy/src/placement/baseline.rs
+++ b/crates/policy/src/placement/baseline.rs
@@ -43,6 +43,7 @@
     }
     let fewest = |c: &&&Candidate<K>| c.load.requests;
     let chosen = match policy {
+        // Lanes choose in functions of their own and do not come here.
         Policy::RoundRobin | Policy::Lanes => open.get(turn % open.len()),
         Policy::LeastRequests => open.iter().min_by_key(fewest),
         Policy::LeastTokens => {
--- a/crates/standins/src/engine/http.rs
+++ b/crates/standins/src/engine/http.rs
@@ -44,8 +44,8 @@
 use hyper::header::HeaderValue;
 
 use super::cache::block_chain;
+use super::model::Model;
 use super::simulation::Limits;
-use super::simulation::Model;
 use super::simulation::Refusal;
 use super::simulation::Submission;
 use super::state::CacheEvent;
--- /dev/null
+++ b/crates/standins/src/engine/model.rs
@@ -0,0 +1,71 @@
+//! The engines that the stand-in can be, by the figures from which an engine's
+//! times follow.
+
+use std::str::FromStr;
+
+use briarhall_types::EngineSpec;
+use thiserror::Error;
+
+/// Engines that the stand-in can be.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Model {
+    /// Steps of 10 ms and more, prefill in proportion to length.
+    #[default]
+    Plain,
+    /// The engine of the users' sheet: passes of many steps, prefill that costs
+    /// more than in proportion to length, parts for other engines first.
+    Sheet,
+}
+
+/// Says that a text names no engine.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("`{0}` is no engine; use plain or sheet")]
+pub struct UnknownModel(String);
+
+impl FromStr for Model {
+    type Err = UnknownModel;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "plain" => Ok(Self::Plain),
+            "sheet" => Ok(Self::Sheet),
+            _ => Err(UnknownModel(text.to_owned())),
+        }
+    }
+}
+
+impl Model {
+    /// Returns the engine's figures.
+    #[must_use]
+    pub fn spec(self) -> EngineSpec {
+        match self {
+            Self::Plain => EngineSpec {
+                slots: 256,
+                kv_tokens: 400_000,
+                stride: 1,
+                step_ms: 10.0,
+                per_writer_ms: 0.1,
+                context_per_k_ms: 0.0,
+                read_per_ms: 20.0,
+                pairs_per_m_ms: 0.0,
+                chunk: 1_024,
+            },
+            Self::Sheet => EngineSpec {
+                slots: 16,
+                kv_tokens: 405_000,
+                stride: 34,
+                step_ms: 1.31,
+                per_writer_ms: 0.000_917,
+                context_per_k_ms: 0.002_13,
+                read_per_ms: 154.0,
+                pairs_per_m_ms: 0.162,
+                chunk: 2_048,
+            },
+        }
+    }
+
+    /// Whether parts for other engines are read before own prompts.
+    pub(super) fn parts_first(self) -> bool {
+        self == Self::Sheet
+    }
+}
