A gateway about to end refuses what it could not answer in full

Cause: while two rolling restarts overlap, clients whose look-ups fail (393 of 1,391) keep old addresses for longer than the directory asks, and connect to a gateway 5.8 s after its SIGTERM. It took their requests and cut them at its end; a long prompt that waited in line there ended without any answer.

Now a request that could not be whole before the end, two seconds and its reading for a stream, is refused at once with Retry-After, before it is sent and while it waits. A connection that is accepted while sessions end has 250 ms for its first request, where it was closed unread.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -36,7 +36,7 @@
 /// Time a request may take when neither client nor route states one.
 const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
 /// Engines that share a long prompt on a busy day: half of the most.
-const USUAL_PARTS: usize = 8;
+pub const USUAL_PARTS: usize = 8;
 /// Part of an objective that a plan may use; the rest is for the steps of the
 /// first pass.
 const OBJECTIVE_USED: f64 = 0.85;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -28,6 +28,7 @@
 use crate::attempt::Sends;
 use crate::attempt::elapsed_ms;
 use crate::job::Job;
+use crate::job::USUAL_PARTS;
 use crate::reservation::Reservation;
 use crate::state::InLine;
 use crate::state::Placed;
@@ -46,6 +47,10 @@
 const LONG_LANE: f64 = 0.8;
 /// Part of its time left that a long prompt can wait and still be answered.
 const LONGEST_WAIT: f64 = 0.45;
+/// Time that a call of a plain service takes at the most, mostly.
+const CALL_TIME: Duration = Duration::from_millis(300);
+/// Time to write an answer: forty events of a pass of 50 ms each.
+const STREAM_TIME: Duration = Duration::from_secs(2);
 /// When a request that crashes replicas may come back: its verdict holds far
 /// longer, and no client's deadline is later.
 const COME_BACK_CRASHER: Duration = Duration::from_mins(1);
@@ -99,6 +104,10 @@
         };
         let until = (job.arrived + job.whole().mul_f64(patience)).min(job.ends);
         loop {
+            if self.ends_too_soon(job, written) {
+                note_no_place(job, "the gateway ends too soon");
+                return Err(sends.last_word());
+            }
             let reason = match self.try_place(job, sends, written, in_line.as_ref()) {
                 Ok(place) => match self.reserve(job, place).await {
                     Some(place) => return Ok(place),
@@ -107,7 +116,7 @@
                 Err(reason) => reason,
             };
             if reason == NoPlace::TooLarge || Instant::now() + LOOK_AGAIN >= until {
-                note_no_place(job, reason);
+                note_no_place(job, &reason.to_string());
                 return Err(sends.last_word());
             }
             Timer::after(LOOK_AGAIN).await;
@@ -136,6 +145,21 @@
         convicted
     }
 
+    /// Returns whether this gateway is about to end before an answer could be
+    /// whole. Its client is better off with another gateway, and can be told so
+    /// as long as nothing was sent.
+    fn ends_too_soon(&self, job: &Job, written: u64) -> bool {
+        let Some(ends_at) = self.shared.state().ends_at else {
+            return false;
+        };
+        let needed = job.engine.as_ref().map_or(CALL_TIME, |spec| {
+            let tokens = job.prompt(written).tokens;
+            let read = engine::read_ms(spec, tokens, USUAL_PARTS);
+            STREAM_TIME + Duration::from_secs_f64(read / 1_000.0)
+        });
+        Instant::now() + needed > ends_at
+    }
+
     fn waits_in_line(&self, spec: &EngineSpec, prompt: &Prompt) -> bool {
         let in_lanes = self.shared.settings.placement == Policy::Lanes;
         in_lanes && placement::length(spec, prompt) == Length::Long
@@ -309,12 +333,12 @@
     );
 }
 
-fn note_no_place(job: &Job, reason: NoPlace) {
+fn note_no_place(job: &Job, reason: &str) {
     log::info!(
         event = "no_place",
         request = job.head.id.as_str(),
         service = job.service.as_str(),
-        reason = reason.to_string().as_str(),
+        reason,
         waited_ms = elapsed_ms(job.arrived);
         "no place"
     );
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -75,6 +75,8 @@
     pub peers: Peers,
     /// Whether this gateway is about to stop.
     pub stopping: bool,
+    /// When it ends at the latest, once it is about to.
+    pub ends_at: Option<Instant>,
     /// Client requests that are not yet answered in full.
     pub in_flight: usize,
     budgets: HashMap<ServiceName, WindowBudget>,
@@ -112,6 +114,7 @@
             line: Line::default(),
             peers: Peers::default(),
             stopping: false,
+            ends_at: None,
             in_flight: 0,
             budgets: HashMap::new(),
             sequence: 0,
@@ -149,9 +152,10 @@
 
     /// Leaves the directory's answers, and returns how many requests are not
     /// yet answered in full.
-    pub fn begin_stop(&self) -> usize {
+    pub fn begin_stop(&self, ends_at: Instant) -> usize {
         let mut state = self.state();
         state.stopping = true;
+        state.ends_at = Some(ends_at);
         let in_flight = state.in_flight;
         drop(state);
         self.tell_peers();
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -25,7 +25,7 @@
 pub async fn stop(shared: &Arc<Shared>, end_sessions: Sender<()>) {
     let began = Instant::now();
     let kill = began + shared.settings.grace.saturating_sub(BEFORE_KILL);
-    let in_flight = shared.begin_stop();
+    let in_flight = shared.begin_stop(kill);
     log::info!(event = "stopping", in_flight; "stopping");
     let moved = shared.settings.address_ttl * KEPT_LONGER + MARGIN;
     Timer::at((began + moved).min(kill)).await;
--- a/crates/net/src/sessions.rs
+++ b/crates/net/src/sessions.rs
@@ -36,6 +36,9 @@
 use crate::Handler;
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time that a new connection has for its first request while sessions end: some
+/// round trips between regions.
+const FIRST_REQUEST: Duration = Duration::from_millis(250);
 /// The smallest buffer that the library takes.
 const SMALLEST_BUFFER: usize = 8 * 1024;
 
@@ -116,7 +119,8 @@
     {
         // Without it answers are only slower.
         let _refused = stream.set_nodelay(true);
-        let activity = Arc::new(Mutex::new(Doing::Idle(Instant::now())));
+        let accepted = Instant::now();
+        let activity = Arc::new(Mutex::new(Doing::Idle(accepted)));
         let io = Observed {
             stream,
             activity: Arc::clone(&activity),
@@ -143,6 +147,8 @@
         let told = async {
             // The channel never carries anything; it closes.
             let _closed = self.end.recv().await;
+            // Who connects last still gets an answer, not a closed connection.
+            Timer::at(accepted + FIRST_REQUEST).await;
             Ended::Told
         };
         let served = async { Ended::Served(conn.as_mut().await) };
