Send clients to the VMs that carry the load, and changes to those that place

Every change went to every known gateway, 8 ms apart at most.

Now heartbeats name a random few; the directory names as many gateways as carry the requests that all report, the largest VMs first, every zone represented, small VMs in proportion to their processor time; only gateways that place requests get each change at once. Others get a heartbeat each 8 ms times the number of gateways, and each heartbeat announces when the next one comes, from which its receiver judges silence.

Ruled out: a fixed larger number of named addresses, which only moves the size at which it fails; cells of gateways and engines, not needed while fewer than 64 place.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -8,6 +8,8 @@
 use briarhall_net::Body;
 use briarhall_net::Handler;
 use briarhall_net::status;
+use briarhall_policy::advertised::advertised;
+use briarhall_policy::advertised::answer;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -56,13 +58,12 @@
 
 impl<W> Directory<W> {
     fn serving_addresses(&self) -> Vec<SocketAddr> {
+        let now = Instant::now();
         let state = self.shared.state();
-        let peers = state.peers.serving(Instant::now());
-        let mut addresses = peers.map(|p| p.client_address).collect::<Vec<_>>();
-        if state.is_ready() {
-            addresses.push(self.shared.settings.client_address);
-        }
-        addresses.truncate(MAX_ADDRESSES);
-        addresses
+        let own = self.shared.presence(&state, now);
+        let own = own.ready.then_some(&own);
+        let advertised = advertised(state.peers.serving(now).chain(own));
+        let named = answer(&advertised, MAX_ADDRESSES, &mut rand::rng());
+        named.into_iter().map(|p| p.client_address).collect()
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -3,6 +3,7 @@
 //! Each carries the sender's identity, the revisions that it has read, and its
 //! complete list of work in flight, so that a lost one is replaced by the next.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,32 +12,76 @@
 use async_channel::Receiver;
 use async_io::Timer;
 use async_net::UdpSocket;
+use briarhall_policy::advertised::advertised;
 use briarhall_policy::peers::DOWN_AFTER;
 use briarhall_policy::peers::HEARTBEAT_INTERVAL;
 use briarhall_policy::peers::PeerUpdate;
+use briarhall_policy::peers::Presence;
+use briarhall_policy::peers::regular_interval;
 use futures_lite::future;
 
 use crate::heartbeat::Heartbeat;
 use crate::state::Shared;
+use crate::state::State;
 
 /// Shortest time between two heartbeats; changes within it share one.
 const MIN_SEND_INTERVAL: Duration = Duration::from_millis(8);
+/// Time that each recipient of changes adds to the shortest time between two
+/// heartbeats: with it, at most 700 a second are sent for changes.
+const SEND_INTERVAL_PER_RECIPIENT: Duration = Duration::from_micros(1_400);
 /// Largest datagram that is sent; a list that does not fit is truncated.
 const MAX_DATAGRAM_BYTES: usize = 32 * 1024;
 /// Most addresses of other gateways in one heartbeat.
-const MAX_KNOWN_ADDRESSES: usize = 16;
+const MAX_KNOWN_ADDRESSES: usize = 8;
+
+/// Heartbeats of one round.
+#[derive(Debug)]
+struct Round {
+    /// For the gateways that place requests, which need each change at once.
+    to_placing: Datagram,
+    /// For all others, when their interval has passed or the state of this
+    /// gateway has changed.
+    to_others: Option<Datagram>,
+}
+
+#[derive(Debug)]
+struct Datagram {
+    bytes: Vec<u8>,
+    recipients: Vec<SocketAddr>,
+}
+
+/// State of this gateway that every other one needs to know at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Announced {
+    ready: bool,
+    stopping: bool,
+    places_requests: bool,
+}
+
+/// Decides which gateways a round of heartbeats goes to.
+#[derive(Debug, Default)]
+struct Schedule {
+    announced: Option<Announced>,
+    /// When the gateways that place no requests were last sent a heartbeat.
+    all_sent_at: Option<Instant>,
+}
 
 /// Sends heartbeats at a regular interval and after every change.
 pub async fn send(shared: Arc<Shared>, socket: UdpSocket, requests: Receiver<()>) {
+    let mut schedule = Schedule::default();
     loop {
-        let (datagram, to) = compose(&shared);
+        let round = schedule.compose(&shared, Instant::now());
         shared.metrics.count("heartbeat_sent");
-        for address in to {
-            if let Err(e) = socket.send_to(&datagram, address).await {
-                log::debug!(to = address.to_string().as_str(), error = e.to_string().as_str(); "cannot send a heartbeat");
-            }
+        let recipients = round.to_placing.recipients.len();
+        for datagram in [Some(round.to_placing), round.to_others]
+            .into_iter()
+            .flatten()
+        {
+            send_to_all(&socket, &datagram).await;
         }
-        Timer::after(MIN_SEND_INTERVAL).await;
+        let recipients = u32::try_from(recipients).unwrap_or(u32::MAX);
+        let pause = SEND_INTERVAL_PER_RECIPIENT.saturating_mul(recipients);
+        Timer::after(pause.clamp(MIN_SEND_INTERVAL, HEARTBEAT_INTERVAL)).await;
         let change = async {
             // The channel stays open as long as the state lives.
             let _requested = requests.recv().await;
@@ -48,40 +93,99 @@
     }
 }
 
-fn compose(shared: &Shared) -> (Vec<u8>, Vec<SocketAddr>) {
-    let now = Instant::now();
-    let mut state = shared.state();
-    state.peers.remove_expired(now);
-    state.crashes.remove_expired(now);
-    let known = state
-        .peers
-        .up(now)
-        .map(|p| p.gossip_address)
-        .take(MAX_KNOWN_ADDRESSES);
-    let known = known.collect::<Vec<_>>();
-    let mut to = state.peers.addresses().collect::<Vec<_>>();
-    let mut heartbeat = Heartbeat {
-        presence: shared.presence(&mut state),
-        in_flight: state.load_tracker.own(now),
-        queued_prompts: state.prompt_queue.own(now),
-        observations: state.crashes.own(now),
-        known,
-    };
-    drop(state);
-    to.extend(shared.settings.seeds.iter().copied());
-    to.sort_unstable();
-    to.dedup();
-    to.retain(|address| *address != shared.settings.gossip_address);
-    let mut datagram = heartbeat.encode();
-    if datagram.len() > MAX_DATAGRAM_BYTES {
-        let works = heartbeat.in_flight.len();
-        log::warn!(event = "heartbeat_cut", works; "work in flight does not fit in one heartbeat; sending a part of it");
-        heartbeat
-            .in_flight
-            .truncate(works * MAX_DATAGRAM_BYTES / datagram.len() / 2);
-        datagram = heartbeat.encode();
+async fn send_to_all(socket: &UdpSocket, datagram: &Datagram) {
+    for address in &datagram.recipients {
+        if let Err(e) = socket.send_to(&datagram.bytes, address).await {
+            log::debug!(to = address.to_string().as_str(), error = e.to_string().as_str(); "cannot send a heartbeat");
+        }
     }
-    (datagram, to)
+}
+
+impl Schedule {
+    fn compose(&mut self, shared: &Shared, now: Instant) -> Round {
+        let mut state = shared.state();
+        state.peers.remove_expired(now);
+        state.crashes.remove_expired(now);
+        let presence = shared.next_presence(&mut state, now);
+        state.advertised = is_advertised(&state, &presence, now);
+        let interval = regular_interval(state.peers.count());
+        let announced = Announced {
+            ready: presence.ready,
+            stopping: presence.stopping,
+            places_requests: presence.places_requests,
+        };
+        let due = self
+            .all_sent_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= interval);
+        let all = due || self.announced != Some(announced);
+        let placing = state.peers.up(now).filter(|p| p.places_requests);
+        let placing = placing.map(|p| p.gossip_address);
+        let placing = placing.collect::<BTreeSet<_>>();
+        let others = if all {
+            let known = state.peers.addresses();
+            known.chain(shared.settings.seeds.iter().copied()).collect()
+        } else {
+            BTreeSet::new()
+        };
+        let known = state
+            .peers
+            .sample_addresses(MAX_KNOWN_ADDRESSES, now, &mut rand::rng());
+        let heartbeat = Heartbeat {
+            presence,
+            interval_ms: millis(HEARTBEAT_INTERVAL),
+            in_flight: state.load_tracker.own(now),
+            queued_prompts: state.prompt_queue.own(now),
+            observations: state.crashes.own(now),
+            known,
+        };
+        drop(state);
+        let others = others.difference(&placing).copied();
+        let others = others
+            .filter(|address| *address != shared.settings.gossip_address)
+            .collect::<Vec<_>>();
+        let to_others = (!others.is_empty()).then(|| Datagram {
+            bytes: encode(&Heartbeat {
+                interval_ms: millis(interval),
+                ..heartbeat.clone()
+            }),
+            recipients: others,
+        });
+        if all {
+            self.announced = Some(announced);
+            self.all_sent_at = Some(now);
+        }
+        Round {
+            to_placing: Datagram {
+                bytes: encode(&heartbeat),
+                recipients: placing.into_iter().collect(),
+            },
+            to_others,
+        }
+    }
+}
+
+/// Returns whether the directory names this gateway to clients.
+fn is_advertised(state: &State, own: &Presence, now: Instant) -> bool {
+    let own_if_serving = (own.ready && !own.stopping).then_some(own);
+    let advertised = advertised(state.peers.serving(now).chain(own_if_serving));
+    advertised.into_iter().any(|p| p.vm == own.vm)
+}
+
+fn encode(heartbeat: &Heartbeat) -> Vec<u8> {
+    let datagram = heartbeat.encode();
+    if datagram.len() <= MAX_DATAGRAM_BYTES {
+        return datagram;
+    }
+    let works = heartbeat.in_flight.len();
+    log::warn!(event = "heartbeat_cut", works; "work in flight does not fit in one heartbeat; sending a part of it");
+    let mut part = heartbeat.clone();
+    part.in_flight
+        .truncate(works * MAX_DATAGRAM_BYTES / datagram.len() / 2);
+    part.encode()
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
 /// Receives heartbeats and applies them.
@@ -109,6 +213,7 @@
     let now = Instant::now();
     let Heartbeat {
         presence,
+        interval_ms,
         in_flight,
         queued_prompts,
         observations,
@@ -126,7 +231,9 @@
         .filter(|a| *a != shared.settings.gossip_address);
     let new = new.collect::<Vec<_>>();
     state.peers.add_addresses(&new, now);
-    let update = state.peers.update(presence, now);
+    let update = state
+        .peers
+        .update(presence, Duration::from_millis(interval_ms.into()), now);
     if update == PeerUpdate::Stale {
         return;
     }
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -20,6 +20,8 @@
 pub struct Heartbeat {
     /// Identity and state of the sender.
     pub presence: Presence,
+    /// Milliseconds until the receiver gets the next heartbeat, at the latest.
+    pub interval_ms: u32,
     /// Complete list of the sender's work in flight.
     #[serde(rename = "works")]
     pub in_flight: Vec<Work>,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -15,6 +15,8 @@
     pub vm: VmName,
     /// Availability zone of the VM.
     pub zone: ZoneName,
+    /// Processor time that the VM gives the process, in thousandths of a core.
+    pub millicores: u32,
     /// Address that clients connect to.
     pub client_address: SocketAddr,
     /// Address of the readiness port.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -28,6 +28,7 @@
 use briarhall_policy::replicas::ReplicaEvent;
 use briarhall_policy::replicas::ReplicaStatus;
 use briarhall_policy::replicas::Replicas;
+use briarhall_policy::request_rate::RequestRate;
 use briarhall_policy::routes::RouteTable;
 use briarhall_policy::window_budget::WindowBudget;
 use briarhall_types::Configuration;
@@ -43,6 +44,11 @@
 /// are known: a gateway that is cut off must not spend the others' share.
 const MIN_GATEWAYS: usize = 10;
 
+/// Client requests a second from which a gateway that is not advertised needs
+/// every change of the others' work: fewer are spread over engines well enough
+/// without.
+const MIN_PLACING_RATE: f64 = 3.0;
+
 /// The configuration in use.
 #[derive(Debug, Clone)]
 pub struct CurrentConfiguration {
@@ -73,6 +79,11 @@
     pub prompt_queue: PromptQueue,
     /// Other gateways.
     pub peers: Peers,
+    /// Client requests that arrive at this gateway.
+    pub request_rate: RequestRate,
+    /// Whether the directory names this gateway to clients, as of its last
+    /// regular heartbeat.
+    pub advertised: bool,
     /// Whether this gateway is stopping.
     pub stopping: bool,
     /// When the process ends at the latest, once it is stopping.
@@ -113,6 +124,8 @@
             load_tracker: LoadTracker::default(),
             prompt_queue: PromptQueue::default(),
             peers: Peers::default(),
+            request_rate: RequestRate::default(),
+            advertised: false,
             stopping: false,
             stop_deadline: None,
             in_flight: 0,
@@ -171,9 +184,11 @@
     /// Records a client's request, which adds a fraction of a retry to the
     /// service's budget.
     pub fn record_arrival(&self, service: &ServiceName) {
+        let now = Instant::now();
         let mut state = self.state();
+        state.request_rate.record(now);
         let budget = state.budget(service, &self.settings);
-        budget.record_request(Instant::now());
+        budget.record_request(now);
     }
 
     /// Returns whether a service's budget allows a retry now.
@@ -214,8 +229,18 @@
 
     /// Returns this gateway's part of its next heartbeat, with a new sequence
     /// number.
-    pub fn presence(&self, state: &mut State) -> Presence {
+    pub fn next_presence(&self, state: &mut State, now: Instant) -> Presence {
         state.sequence += 1;
+        self.presence(state, now)
+    }
+
+    /// Returns how this gateway presents itself to the others.
+    #[must_use]
+    pub fn presence(&self, state: &State, now: Instant) -> Presence {
+        let requests_per_s = state.request_rate.per_s(now);
+        let places_requests = state.advertised
+            || requests_per_s >= MIN_PLACING_RATE
+            || state.prompt_queue.own_count() > 0;
         Presence {
             vm: self.settings.vm.clone(),
             incarnation: self.incarnation,
@@ -226,6 +251,14 @@
             zone: self.settings.zone.clone(),
             ready: state.is_ready(),
             stopping: state.stopping,
+            millicores: self.settings.millicores,
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "a rate of requests is small and not negative"
+            )]
+            requests_per_s: requests_per_s.ceil() as u32,
+            places_requests,
             configuration: state
                 .current_configuration
                 .as_ref()
--- a/crates/gateway/tests/heartbeat.rs
+++ b/crates/gateway/tests/heartbeat.rs
@@ -56,9 +56,13 @@
             zone: "a".into(),
             ready: true,
             stopping: false,
+            millicores: 250,
+            requests_per_s: 5,
+            places_requests: true,
             configuration: 12,
             replicas: 500,
         },
+        interval_ms: 300,
         in_flight: vec![work; 3],
         queued_prompts: vec![queued_prompt; 2],
         observations: vec![crash; 2],
@@ -104,6 +108,7 @@
     let (mut peers, mut crashes) = (Peers::default(), Crashes::default());
     let Heartbeat {
         presence,
+        interval_ms,
         in_flight,
         queued_prompts,
         observations,
@@ -112,7 +117,8 @@
     let vm = presence.vm.clone();
     let incarnation = presence.incarnation;
     peers.add_addresses(&known, now);
-    assert_eq!(peers.update(presence, now), PeerUpdate::Up);
+    let interval = Duration::from_millis(interval_ms.into());
+    assert_eq!(peers.update(presence, interval, now), PeerUpdate::Up);
     let services = queued_prompts
         .iter()
         .map(|prompt| prompt.service)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! larger modules, commands (which change state) and queries (which read it)
 //! are in separate files.
 
+pub mod advertised;
 pub mod claims;
 pub mod config_store;
 pub mod crashes;
@@ -24,6 +25,7 @@
 pub mod prompt_queue;
 pub mod rendezvous;
 pub mod replicas;
+pub mod request_rate;
 pub mod retry;
 pub mod routes;
 pub mod share_allocator;
--- a/crates/policy/src/peers.rs
+++ b/crates/policy/src/peers.rs
@@ -8,18 +8,31 @@
 use briarhall_types::Revision;
 use briarhall_types::ZoneName;
 use compact_str::CompactString;
+use rand::Rng;
+use rand::seq::IteratorRandom;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Time between two heartbeats when nothing changes.
+/// Shortest time between two heartbeats to the same gateway when nothing
+/// changes.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
-/// Time without a heartbeat after which a gateway counts as down: four
-/// intervals, so that two lost datagrams and a late one do not count as a
-/// failure.
-pub const DOWN_AFTER: Duration = Duration::from_millis(1_200);
+/// Time that each gateway adds to the interval between heartbeats to gateways
+/// that do not place requests: with it, a VM sends and receives at most 125 of
+/// them a second, however many VMs there are.
+const INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(8);
+/// Longest interval that a heartbeat may announce.
+pub const MAX_HEARTBEAT_INTERVAL: Duration = Duration::from_secs(10);
+/// Intervals without a heartbeat after which a gateway counts as down, so that
+/// two lost datagrams and a late one do not count as a failure.
+const DOWN_AFTER_INTERVALS: u32 = 4;
+/// Time without a heartbeat after which a gateway that sends at the shortest
+/// interval counts as down.
+pub const DOWN_AFTER: Duration = HEARTBEAT_INTERVAL.saturating_mul(DOWN_AFTER_INTERVALS);
 /// Time without a heartbeat of one process after which another process on the
-/// same VM replaces it: one and a half intervals.
+/// same VM replaces it, at the shortest interval: one and a half intervals.
 pub const TAKE_OVER_AFTER: Duration = Duration::from_millis(450);
+/// The same in intervals.
+const TAKE_OVER_INTERVALS: f64 = 1.5;
 /// Time without a heartbeat after which a gateway is removed.
 const REMOVE_AFTER: Duration = Duration::from_mins(1);
 
@@ -53,6 +66,13 @@
     pub ready: bool,
     /// Whether it is about to stop.
     pub stopping: bool,
+    /// Processor time that its VM gives it, in thousandths of a core.
+    pub millicores: u32,
+    /// Client requests that it receives, a second.
+    pub requests_per_s: u32,
+    /// Whether it places requests and so needs every change of the others' work
+    /// at once.
+    pub places_requests: bool,
     /// Revision of its configuration.
     pub configuration: Revision,
     /// Revision of its list of replicas.
@@ -63,6 +83,24 @@
 struct Peer {
     presence: Presence,
     last_heartbeat: Instant,
+    /// Time until the next heartbeat, as the last one announced.
+    interval: Duration,
+}
+
+impl Peer {
+    fn is_up(&self, now: Instant) -> bool {
+        let silent_for = now.saturating_duration_since(self.last_heartbeat);
+        silent_for < self.interval * DOWN_AFTER_INTERVALS
+    }
+}
+
+/// Returns the time between two heartbeats to a gateway that places no requests,
+/// when `gateways` are known.
+#[must_use]
+pub fn regular_interval(gateways: usize) -> Duration {
+    let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
+    let interval = INTERVAL_PER_GATEWAY.saturating_mul(gateways);
+    interval.clamp(HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL)
 }
 
 /// The other gateways that one gateway knows.
@@ -101,14 +139,16 @@
         }
     }
 
-    /// Applies a heartbeat.
-    pub fn update(&mut self, presence: Presence, now: Instant) -> PeerUpdate {
+    /// Applies a heartbeat that announces the next one after `interval`.
+    pub fn update(&mut self, presence: Presence, interval: Duration, now: Instant) -> PeerUpdate {
+        let interval = interval.clamp(HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL);
         self.unconfirmed.remove(&presence.gossip_address);
         let Some(peer) = self.peers.get_mut(&presence.vm) else {
             let vm = presence.vm.clone();
             let peer = Peer {
                 presence,
                 last_heartbeat: now,
+                interval,
             };
             self.peers.insert(vm, peer);
             return PeerUpdate::Up;
@@ -120,16 +160,17 @@
         } else {
             // A late datagram of a process that has ended must not replace the
             // running one, which never pauses its heartbeats for so long.
-            since_heartbeat < TAKE_OVER_AFTER
+            since_heartbeat < peer.interval.mul_f64(TAKE_OVER_INTERVALS)
         };
         if stale {
             return PeerUpdate::Stale;
         }
-        let was_up = since_heartbeat < DOWN_AFTER && same_process;
+        let was_up = peer.is_up(now) && same_process;
         let changed =
             peer.presence.ready != presence.ready || peer.presence.stopping != presence.stopping;
         peer.presence = presence;
         peer.last_heartbeat = now;
+        peer.interval = interval;
         match (was_up, changed) {
             (false, _) => PeerUpdate::Up,
             (true, true) => PeerUpdate::Changed,
@@ -147,8 +188,8 @@
 
     /// Returns the gateways that are up.
     pub fn up(&self, now: Instant) -> impl Iterator<Item = &Presence> {
-        let up = move |p: &&Peer| now.saturating_duration_since(p.last_heartbeat) < DOWN_AFTER;
-        self.peers.values().filter(up).map(|peer| &peer.presence)
+        let up = self.peers.values().filter(move |peer| peer.is_up(now));
+        up.map(|peer| &peer.presence)
     }
 
     /// Returns the gateways that accept clients.
@@ -163,6 +204,16 @@
         known.chain(self.unconfirmed.keys().copied())
     }
 
+    /// Returns up to `count` heartbeat addresses of gateways that are up, drawn
+    /// anew each time so that repeated answers name them all.
+    pub fn sample_addresses<R>(&self, count: usize, now: Instant, rng: &mut R) -> Vec<SocketAddr>
+    where
+        R: Rng,
+    {
+        let addresses = self.up(now).map(|p| p.gossip_address);
+        addresses.sample(rng, count)
+    }
+
     /// Returns how many gateways sent a heartbeat and were not removed.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/crates/policy/src/prompt_queue.rs
+++ b/crates/policy/src/prompt_queue.rs
@@ -112,6 +112,12 @@
         self.own.values().map(|entry| entry.at(now)).collect()
     }
 
+    /// Returns how many prompts wait at this gateway.
+    #[must_use]
+    pub fn own_count(&self) -> usize {
+        self.own.len()
+    }
+
     /// Returns the time that one engine would take to prefill all prompts that
     /// wait for a service, in milliseconds.
     #[must_use]
--- a/crates/policy/tests/peers.rs
+++ b/crates/policy/tests/peers.rs
@@ -1,5 +1,6 @@
 //! Heartbeats that arrive late, twice or from processes that have ended.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -11,6 +12,9 @@
 use briarhall_policy::peers::Peers;
 use briarhall_policy::peers::Presence;
 use briarhall_policy::peers::TAKE_OVER_AFTER;
+use briarhall_policy::peers::regular_interval;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 fn presence(incarnation: u64, sequence: u64) -> Presence {
     let address = SocketAddr::from(([127, 0, 0, 1], 7_340));
@@ -24,6 +28,9 @@
         zone: "a".into(),
         ready: true,
         stopping: false,
+        millicores: 250,
+        requests_per_s: 5,
+        places_requests: true,
         configuration: sequence,
         replicas: sequence,
     }
@@ -48,13 +55,16 @@
         let mut peers = Peers::default();
         let (mut incarnation, mut sequence) = (1, 1);
         let mut sent = vec![presence(incarnation, sequence)];
-        peers.update(sent[0].clone(), now);
+        peers.update(sent[0].clone(), HEARTBEAT_INTERVAL, now);
         let mut lost_before = false;
         for op in ops {
             match *op {
                 Op::Old { which } => {
                     let old = sent[usize::from(which) % sent.len()].clone();
-                    assert_eq!(peers.update(old, now), PeerUpdate::Stale);
+                    assert_eq!(
+                        peers.update(old, HEARTBEAT_INTERVAL, now),
+                        PeerUpdate::Stale
+                    );
                 }
                 Op::Heartbeat { lost } => {
                     now += HEARTBEAT_INTERVAL;
@@ -66,10 +76,13 @@
                         lost_before = true;
                         now += HEARTBEAT_INTERVAL / 4;
                         sequence += 1;
-                        peers.update(presence(incarnation, sequence), now);
+                        peers.update(presence(incarnation, sequence), HEARTBEAT_INTERVAL, now);
                     } else {
                         lost_before = false;
-                        assert_ne!(peers.update(heartbeat, now), PeerUpdate::Stale);
+                        assert_ne!(
+                            peers.update(heartbeat, HEARTBEAT_INTERVAL, now),
+                            PeerUpdate::Stale
+                        );
                     }
                 }
                 Op::Restart => {
@@ -78,7 +91,10 @@
                     sequence = 1;
                     let heartbeat = presence(incarnation, sequence);
                     sent.push(heartbeat.clone());
-                    assert_eq!(peers.update(heartbeat, now), PeerUpdate::Up);
+                    assert_eq!(
+                        peers.update(heartbeat, HEARTBEAT_INTERVAL, now),
+                        PeerUpdate::Up
+                    );
                 }
             }
         }
@@ -89,11 +105,14 @@
 fn a_silent_gateway_leaves_the_directory_and_returns() {
     let now = Instant::now();
     let mut peers = Peers::default();
-    peers.update(presence(1, 1), now);
+    peers.update(presence(1, 1), HEARTBEAT_INTERVAL, now);
     assert_eq!(peers.serving(now).count(), 1);
     let later = now + DOWN_AFTER;
     assert_eq!(peers.serving(later).count(), 0);
-    assert_eq!(peers.update(presence(1, 2), later), PeerUpdate::Up);
+    assert_eq!(
+        peers.update(presence(1, 2), HEARTBEAT_INTERVAL, later),
+        PeerUpdate::Up
+    );
     assert_eq!(peers.serving(later).count(), 1);
 }
 
@@ -101,10 +120,13 @@
 fn a_stopping_gateway_leaves_the_directory_at_once() {
     let now = Instant::now();
     let mut peers = Peers::default();
-    peers.update(presence(1, 1), now);
+    peers.update(presence(1, 1), HEARTBEAT_INTERVAL, now);
     let mut stopping = presence(1, 2);
     stopping.stopping = true;
-    assert_eq!(peers.update(stopping, now), PeerUpdate::Changed);
+    assert_eq!(
+        peers.update(stopping, HEARTBEAT_INTERVAL, now),
+        PeerUpdate::Changed
+    );
     assert_eq!(peers.serving(now).count(), 0);
     assert_eq!(peers.up(now).count(), 1, "it still sends heartbeats");
 }
@@ -113,9 +135,94 @@
 fn only_a_gateway_that_is_up_offers_a_newer_configuration() {
     let now = Instant::now();
     let mut peers = Peers::default();
-    peers.update(presence(1, 7), now);
+    peers.update(presence(1, 7), HEARTBEAT_INTERVAL, now);
     assert!(peers.newer_configuration(6, now).is_some());
     assert!(peers.newer_configuration(7, now).is_none());
     let later = now + DOWN_AFTER + Duration::from_millis(1);
     assert!(peers.newer_configuration(6, later).is_none(), "it is down");
 }
+
+/// Most addresses that one heartbeat of the model names.
+const NAMED: usize = 8;
+
+fn numbered(n: u8) -> Presence {
+    let address = SocketAddr::from(([10, 0, 0, n], 7_340));
+    Presence {
+        vm: format!("vm-{n:02}").into(),
+        gossip_address: address,
+        ..presence(u64::from(n) + 1, 1)
+    }
+}
+
+/// Pattern: hundreds of VMs start at the same moment and know three seeds. With
+/// the same few addresses in every heartbeat, most never hear of each other.
+#[test]
+fn many_gateways_that_start_together_all_learn_of_each_other() {
+    const GATEWAYS: u8 = 95;
+    const ROUNDS: u32 = 12;
+    let start = Instant::now();
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut all = (0..GATEWAYS).map(|_| Peers::default()).collect::<Vec<_>>();
+    let seeds = [0, 1, 2].map(|n| numbered(n).gossip_address);
+    for round in 0..ROUNDS {
+        let now = start + HEARTBEAT_INTERVAL * round;
+        for from in 0..GATEWAYS {
+            let peers = &mut all[usize::from(from)];
+            peers.remove_expired(now);
+            let named = peers.sample_addresses(NAMED, now, &mut rng);
+            let mut to = peers.addresses().chain(seeds).collect::<Vec<_>>();
+            to.sort_unstable();
+            to.dedup();
+            for address in to {
+                let IpAddr::V4(ip) = address.ip() else {
+                    panic!("the model has IPv4 addresses only");
+                };
+                let receiver = ip.octets()[3];
+                if receiver == from {
+                    continue;
+                }
+                let sender = Presence {
+                    sequence: u64::from(round) + 1,
+                    ..numbered(from)
+                };
+                let own = numbered(receiver).gossip_address;
+                let named = named.iter().copied().filter(|a| *a != own);
+                let named = named.collect::<Vec<_>>();
+                let peers = &mut all[usize::from(receiver)];
+                peers.add_addresses(&named, now);
+                peers.update(sender, HEARTBEAT_INTERVAL, now);
+            }
+        }
+    }
+    let known = all.iter().map(Peers::count);
+    let fewest = known.min().expect("there are gateways");
+    assert_eq!(fewest, usize::from(GATEWAYS) - 1, "after {ROUNDS} rounds");
+}
+
+/// Pattern: a gateway that stands by is told less often; it must not take the
+/// others for failed between two heartbeats.
+#[test]
+fn a_gateway_is_up_for_four_of_the_intervals_that_it_announced() {
+    let interval = regular_interval(95);
+    assert!(interval > HEARTBEAT_INTERVAL);
+    let now = Instant::now();
+    let mut peers = Peers::default();
+    peers.update(presence(1, 1), interval, now);
+    let before = now + interval.mul_f64(3.9);
+    assert_eq!(peers.up(before).count(), 1);
+    assert_eq!(peers.up(now + interval * 4).count(), 0);
+}
+
+/// Pattern: the number of VMs grows tenfold; what each of them sends must not.
+#[test]
+fn heartbeats_to_gateways_that_stand_by_are_bounded_in_number() {
+    for gateways in [9, 30, 95, 350, 1_000] {
+        let interval = regular_interval(gateways);
+        let per_s =
+            f64::from(u32::try_from(gateways).expect("a small number")) / interval.as_secs_f64();
+        assert!(
+            per_s <= 126.0,
+            "{gateways} gateways: {per_s} heartbeats a second"
+        );
+    }
+}
