Read a series of changes in the store in one answer of a watch

Cause: each answer of a watch is a priced call, and every gateway watches the replicas.

A calm watch waits 25 s instead of 10.

Ruled out: a few watchers that pass changes on, which needs the lapses of an outage to be passed on too; left as the next step if calls bind again.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -2,14 +2,16 @@
 //! completely, then watches it, and reads it again whenever a watch fails.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use briarhall_objects::PlatformError;
+use briarhall_policy::watch_pace::WatchPace;
 use briarhall_types::Revision;
 
 /// Longest wait of one watch call; TCP keepalive probes detect a broken
 /// connection well before.
-pub const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
+pub const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
 /// Delay after a call that failed or a watch that could not begin, doubled up
 /// to [`MAX_BACKOFF`].
 const INITIAL_BACKOFF: Duration = Duration::from_millis(60);
@@ -36,12 +38,14 @@
     fn on_unavailable(&self) {}
 }
 
-/// Keeps an object or list in sync for the life of the process.
-pub async fn follow<F>(followed: F)
+/// Keeps an object or list in sync for the life of the process. Changes that come
+/// in series are read no more often than each `min_interval`.
+pub async fn follow<F>(followed: F, min_interval: Duration)
 where
     F: Followed,
 {
     let mut revision = None;
+    let mut pace = WatchPace::new(min_interval);
     let mut backoff = INITIAL_BACKOFF;
     loop {
         let read = match revision {
@@ -55,7 +59,12 @@
                 if revision.is_some() {
                     backoff = INITIAL_BACKOFF;
                 }
-                revision = Some(at);
+                if revision.replace(at) != Some(at) {
+                    let pause = pace.changed(Instant::now());
+                    if !pause.is_zero() {
+                        Timer::after(pause).await;
+                    }
+                }
                 continue;
             }
             Err(PlatformError::Expired) => {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -36,6 +36,8 @@
     pub address_ttl: Duration,
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
+    /// Shortest time between two reads of a series of changes in the store.
+    pub min_watch_interval: Duration,
     /// Limit on retries.
     pub budget: BudgetBound,
     /// Placement policy for engines.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -84,14 +84,16 @@
         heartbeat_requests,
     ));
     executor.detach(gossip::remove_down_peers(Arc::clone(&shared)));
-    executor.detach(follow(FollowedConfiguration {
+    let configuration = FollowedConfiguration {
         shared: Arc::clone(&shared),
         plane: plane.clone(),
-    }));
-    executor.detach(follow(FollowedReplicas {
+    };
+    executor.detach(follow(configuration, settings.min_watch_interval));
+    let replicas = FollowedReplicas {
         shared: Arc::clone(&shared),
         plane,
-    }));
+    };
+    executor.detach(follow(replicas, settings.min_watch_interval));
     executor.detach(replica_watch::expire(Arc::clone(&shared)));
     executor.detach(relay::catch_up(Arc::clone(&shared), client.clone()));
     let relay = RelayService {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,4 +30,5 @@
 pub mod routes;
 pub mod share_allocator;
 pub mod suspects;
+pub mod watch_pace;
 pub mod window_budget;
