--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,6 +23,7 @@
 use crate::state::Shared;
 use crate::state::record_outcome;
 use crate::state::record_run;
+use crate::wire::FailedReplica;
 use crate::wire::ForwardedRequest;
 use crate::wire::ReplyHead;
 use crate::wire::Wire;
@@ -144,15 +145,15 @@
         }
         let status = exchange.reply.status();
         if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-            let at_fault = head.failed_replica.as_ref().unwrap_or(id);
-            let outcome = if head.failed_replica.is_some() {
-                SendOutcome::Unreachable
-            } else {
-                SendOutcome::Refused
+            let failed = head.failed_replica.as_ref();
+            let failed = failed.and_then(|failed| self.replica_id(failed));
+            let (at_fault, outcome) = match failed {
+                Some(other) if other != *id => (other, SendOutcome::Unreachable),
+                _ => (id.clone(), SendOutcome::Refused),
             };
-            record_outcome(&self.shared, at_fault, outcome);
+            record_outcome(&self.shared, &at_fault, outcome);
             attempts.refused += 1;
-            log_failed_send(job, at_fault, "refused", u128::from(status.as_u16()));
+            log_failed_send(job, &at_fault, "refused", u128::from(status.as_u16()));
             return SendResult::NotRun;
         }
         attempts.may_have_run += 1;
@@ -164,6 +165,19 @@
         SendResult::Answer(Box::new(exchange), head)
     }
 
+    /// Returns the id of a replica that another one names, unless its address is
+    /// no longer in the registry.
+    fn replica_id(&self, failed: &FailedReplica) -> Option<ReplicaId> {
+        match failed {
+            FailedReplica::Id(id) => Some(id.clone()),
+            FailedReplica::At(address) => {
+                let state = self.shared.state();
+                let record = state.replicas.at_address(*address);
+                record.map(|record| record.id.clone())
+            }
+        }
+    }
+
     fn record_failure(
         &self,
         job: &Job,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub use headers::remove_connection_headers;
 pub use settings::Settings;
 pub use start::run;
+pub use wire::FailedReplica;
 pub use wire::ForwardedRequest;
 pub use wire::HeadError;
 pub use wire::Helper;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -1,5 +1,6 @@
 //! Chooses the replicas that run a request, and waits until they can take it.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -30,6 +31,7 @@
 use crate::job::Job;
 use crate::job::TYPICAL_PREFILL_ENGINES;
 use crate::request_error::RequestError;
+use crate::reservation::EngineCalls;
 use crate::reservation::Reservation;
 use crate::state::QueuePosition;
 use crate::state::State;
@@ -297,6 +299,7 @@
         drop(state);
         self.record_placement(job, &plan, &known);
         let helpers = helpers.iter().map(|record| Helper {
+            replica: record.id.clone(),
             address: record.address,
             reservation_id: None,
         });
@@ -338,8 +341,11 @@
     async fn reserve(&self, job: &Job, mut placement: Placement<W>) -> Option<Placement<W>> {
         if placement.tokens_per_helper > 0 {
             let reservation = Reservation::acquire(
-                self.wire.clone(),
-                self.client.clone(),
+                EngineCalls {
+                    shared: Arc::clone(&self.shared),
+                    wire: self.wire.clone(),
+                    client: self.client.clone(),
+                },
                 self.executor.clone(),
                 &mut placement.helpers,
                 placement.tokens_per_helper,
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -6,6 +6,7 @@
 //! at once, so two prompts never wait for each other.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,10 +14,15 @@
 use briarhall_net::Connection;
 use briarhall_net::Executor;
 use briarhall_net::HttpClient;
+use briarhall_policy::health::SendOutcome;
+use briarhall_types::ReplicaId;
 use compact_str::CompactString;
 use compact_str::format_compact;
 use futures::future::join_all;
+use hyper::StatusCode;
 
+use crate::state::Shared;
+use crate::state::record_outcome;
 use crate::wire::Helper;
 use crate::wire::Wire;
 
@@ -46,6 +52,7 @@
 /// A reservation at one engine.
 #[derive(Debug, Clone)]
 struct EngineReservation {
+    replica: ReplicaId,
     address: SocketAddr,
     id: CompactString,
     tokens: u64,
@@ -53,9 +60,13 @@
 
 /// Calls engines to reserve and release memory.
 #[derive(Debug, Clone)]
-struct EngineCalls<W> {
-    wire: W,
-    client: HttpClient,
+pub struct EngineCalls<W> {
+    /// Control state, where engines that fail are recorded.
+    pub shared: Arc<Shared>,
+    /// Writes the calls.
+    pub wire: W,
+    /// Opens connections.
+    pub client: HttpClient,
 }
 
 impl<W> Reservation<W>
@@ -65,18 +76,17 @@
     /// Reserves `tokens` at every helper and sets its reservation id. Returns
     /// `None` unless all of them grant it.
     pub async fn acquire(
-        wire: W,
-        client: HttpClient,
+        calls: EngineCalls<W>,
         executor: Executor,
         helpers: &mut [Helper],
         tokens: u64,
         name: &str,
     ) -> Option<Self> {
-        let calls = EngineCalls { wire, client };
         let reservations = helpers
             .iter()
             .enumerate()
             .map(|(index, helper)| EngineReservation {
+                replica: helper.replica.clone(),
                 address: helper.address,
                 id: format_compact!("{name}-{index}"),
                 tokens,
@@ -154,15 +164,21 @@
             reservation.tokens,
             RESERVATION_TTL,
         );
-        match self.client.send(call, CALL_TIMEOUT).await {
+        let outcome = match self.client.send(call, CALL_TIMEOUT).await {
+            Ok(reply) if reply.status() == StatusCode::ACCEPTED => SendOutcome::Refused,
+            Ok(reply) if reply.status().is_success() => return true,
             Ok(reply) => {
-                reply.status().is_success() && reply.status() != hyper::StatusCode::ACCEPTED
+                log_failure("reserve", reservation, reply.status().as_str());
+                SendOutcome::Refused
             }
             Err(e) => {
                 log_failure("reserve", reservation, &e.to_string());
-                false
+                SendOutcome::Unreachable
             }
-        }
+        };
+        // The next plan avoids it.
+        record_outcome(&self.shared, &reservation.replica, outcome);
+        false
     }
 
     async fn release(&self, reservation: &EngineReservation) {
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -51,6 +51,8 @@
 /// Another replica that prefills a part of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Helper {
+    /// The replica.
+    pub replica: ReplicaId,
     /// Address that it listens on.
     pub address: SocketAddr,
     /// Id of the memory reservation for the part.
@@ -84,7 +86,16 @@
     /// The body was altered on the way, by a content encoding.
     pub content_encoded: bool,
     /// The replica at fault, when it is another.
-    pub failed_replica: Option<ReplicaId>,
+    pub failed_replica: Option<FailedReplica>,
+}
+
+/// A replica that another one names as the reason for its answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FailedReplica {
+    /// The one that listens on this address.
+    At(SocketAddr),
+    /// The one with this id.
+    Id(ReplicaId),
 }
 
 /// Reads and writes heads in the platform's format.
--- a/crates/policy/src/replicas.rs
+++ b/crates/policy/src/replicas.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -211,6 +212,16 @@
         self.by_id.get(id)?.entry.record.as_ref()
     }
 
+    /// Returns the replica that listens on an address.
+    #[must_use]
+    pub fn at_address(&self, address: SocketAddr) -> Option<&ReplicaRecord> {
+        let mut records = self
+            .by_id
+            .values()
+            .filter_map(|listed| listed.entry.record.as_ref());
+        records.find(|record| record.address == address)
+    }
+
     /// Returns whether a replica accepts new work.
     #[must_use]
     pub fn takes_work(&self, id: &str) -> bool {
