Tell other gateways which replicas have just failed

Cause: each gateway learned by its own requests that a replica had crashed, so eight crashed engines cost each of 14 gateways some sends, and a prompt over sixteen engines met one of them more often than not.

Heartbeats carry the replicas that failed requests of the sender within the last second, and their penalty; what others report fades like one's own and is not passed on. A gateway that a quarter of the replicas failed is probably cut off itself and reports none. After failed calls the store is asked again after 1 s here (0.5 s on small sites), not 0.4 s.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -12,12 +12,11 @@
 /// Longest wait of one watch call; TCP keepalive probes detect a broken
 /// connection well before.
 pub const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
-/// Delay after a call that failed or a watch that could not begin, doubled up
-/// to [`MAX_BACKOFF`].
+/// Delay after a call that failed or a watch that could not begin. It doubles up
+/// to the shortest time between two reads of a series of changes.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(60);
-/// Longest delay between calls: a change must be applied within two seconds
-/// after the store is available again.
-const MAX_BACKOFF: Duration = Duration::from_millis(400);
+/// Longest delay if that time is shorter.
+const MIN_LONGEST_BACKOFF: Duration = Duration::from_millis(400);
 
 /// An object or list in the store that is kept in sync.
 pub trait Followed: Send + Sync {
@@ -46,6 +45,7 @@
 {
     let mut revision = None;
     let mut pace = WatchPace::new(min_interval);
+    let max_backoff = min_interval.max(MIN_LONGEST_BACKOFF);
     let mut backoff = INITIAL_BACKOFF;
     loop {
         let read = match revision {
@@ -79,6 +79,6 @@
         // A new watch would not deliver missed changes, so read again.
         revision = None;
         Timer::after(backoff).await;
-        backoff = (backoff * 2).min(MAX_BACKOFF);
+        backoff = (backoff * 2).min(max_backoff);
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -141,6 +141,7 @@
             in_flight: state.load_tracker.own(now),
             queued_prompts: state.prompt_queue.own(now),
             observations: state.crashes.own(now),
+            failed: state.health.own(state.replicas.usable().count(), now),
             known,
         };
         drop(state);
@@ -222,6 +223,7 @@
         in_flight,
         queued_prompts,
         observations,
+        failed,
         known,
     } = heartbeat;
     if presence.vm == shared.settings.vm && presence.incarnation == shared.incarnation {
@@ -249,6 +251,7 @@
     state
         .crashes
         .set_peer_observations(incarnation, &observations, now);
+    state.health.apply_report(&failed, now);
     drop(state);
     if matches!(update, PeerUpdate::Up | PeerUpdate::Changed) {
         log::info!(event = "peer", peer = vm.as_str(), ready, stopping, up = true; "peer is up or has changed");
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use briarhall_policy::crashes::Observation;
+use briarhall_policy::health::FailedRequests;
 use briarhall_policy::load_tracker::Work;
 use briarhall_policy::peers::Presence;
 use briarhall_policy::prompt_queue::QueuedPrompt;
@@ -31,6 +32,8 @@
     /// What the sender observed of requests that may crash replicas.
     #[serde(rename = "signs")]
     pub observations: Vec<Observation>,
+    /// Replicas that failed requests of the sender.
+    pub failed: Vec<FailedRequests>,
     /// Gossip addresses of gateways that the sender knows.
     pub known: Vec<SocketAddr>,
 }
@@ -78,7 +81,8 @@
                 .all(is_duration)
             && queued_prompts
                 .map(|prompt| prompt.overdue_in_ms.abs())
-                .all(is_duration);
+                .all(is_duration)
+            && heartbeat.failed.iter().all(|f| f.penalty.is_finite());
         if valid {
             Ok(heartbeat)
         } else {
--- a/crates/gateway/tests/heartbeat.rs
+++ b/crates/gateway/tests/heartbeat.rs
@@ -10,6 +10,8 @@
 use briarhall_policy::crashes::Crashes;
 use briarhall_policy::crashes::Observation;
 use briarhall_policy::crashes::ObservedOutcome;
+use briarhall_policy::health::FailedRequests;
+use briarhall_policy::health::Health;
 use briarhall_policy::load_tracker::LoadTracker;
 use briarhall_policy::load_tracker::Phase;
 use briarhall_policy::load_tracker::Work;
@@ -66,6 +68,10 @@
         in_flight: vec![work; 3],
         queued_prompts: vec![queued_prompt; 2],
         observations: vec![crash; 2],
+        failed: vec![FailedRequests {
+            replica: 7,
+            penalty: 2.0,
+        }],
         known: vec![address(4), address(5)],
     }
 }
@@ -112,6 +118,7 @@
         in_flight,
         queued_prompts,
         observations,
+        failed,
         known,
     } = heartbeat;
     let vm = presence.vm.clone();
@@ -130,7 +137,10 @@
     load_tracker.set_peer_work(vm.clone(), in_flight, now);
     prompt_queue.set_peer_prompts(vm, queued_prompts, now);
     crashes.set_peer_observations(incarnation, &observations, now);
+    let mut health = Health::default();
+    health.apply_report(&failed, now);
     let later = now + Duration::from_millis(5);
+    assert!(health.penalty(&"i-1".into(), later).is_finite());
     for load in load_tracker.loads(later).values() {
         assert!(load.backlog_ms.is_finite(), "{load:?}");
     }
--- a/crates/policy/tests/stale_views.rs
+++ b/crates/policy/tests/stale_views.rs
@@ -68,7 +68,7 @@
             tokens: TOKENS,
         });
         let left = (p.at_ms + PREFILL_MS).saturating_sub(now_ms);
-        load.backlog_ms += left as f64;
+        load.backlog_ms += f64::from(u32::try_from(left).expect("a short time"));
     }
     let engines = loads.into_iter().enumerate();
     let engines = engines.map(|(key, load)| Candidate {
