--- a/crates/gateway/src/client_request.rs
+++ b/crates/gateway/src/client_request.rs
@@ -181,6 +181,10 @@
         shared
             .metrics
             .count(&format!("request_refused_{}", e.reason()));
+        shared.metrics.time(
+            &format!("request_refused_{}_after", e.reason()),
+            arrived.elapsed(),
+        );
         log::info!(
             event = "refused",
             request = id,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -112,7 +112,7 @@
         state.peers.remove_expired(now);
         state.crashes.remove_expired(now);
         let presence = shared.next_presence(&mut state, now);
-        state.advertised = is_advertised(&state, &presence, now);
+        update_advertised(&mut state, &presence, now);
         let interval = regular_interval(state.peers.count());
         let announced = Announced {
             ready: presence.ready,
@@ -170,11 +170,23 @@
     }
 }
 
-/// Returns whether the directory names this gateway to clients.
-fn is_advertised(state: &State, own: &Presence, now: Instant) -> bool {
+/// Updates whether the directory names this gateway to clients.
+fn update_advertised(state: &mut State, own: &Presence, now: Instant) {
     let own_if_serving = (own.ready && !own.stopping).then_some(own);
-    let advertised = advertised(state.peers.serving(now).chain(own_if_serving));
-    advertised.into_iter().any(|p| p.vm == own.vm)
+    let serving = state.peers.serving(now).chain(own_if_serving);
+    let advertised = advertised(serving);
+    let is_advertised = advertised.iter().any(|p| p.vm == own.vm);
+    if state.advertised != is_advertised {
+        let requests_per_s = advertised.iter().map(|p| p.requests_per_s).sum::<u32>();
+        log::info!(
+            event = "advertised",
+            advertised = is_advertised,
+            gateways = advertised.len(),
+            requests_per_s;
+            "the directory has begun or ceased to name this gateway"
+        );
+    }
+    state.advertised = is_advertised;
 }
 
 fn encode(heartbeat: &Heartbeat) -> Vec<u8> {
