Ask any gateway that is ahead, and only after one's own watch is late

The grace is now the pause between two reads and 0.2 s more, and a gateway asks a random one of those ahead, of its zone if there is one.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,7 +2,7 @@
 //!
 //! The store may refuse one VM and serve the others, and a watch may have gone
 //! silent. Heartbeats carry the revisions that other gateways have; a gateway
-//! that stays behind for longer than [`OWN_WATCH_GRACE`] asks one that is
+//! that stays behind for longer than its own watch may take asks one that is
 //! ahead.
 
 use std::net::SocketAddr;
@@ -35,7 +35,7 @@
 /// Time between two checks of the revisions that other gateways have.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for this gateway's own watch to deliver what another gateway already
-/// has: watches deliver within milliseconds.
+/// has, beyond the pause between two reads of a series of changes.
 const OWN_WATCH_GRACE: Duration = Duration::from_millis(200);
 /// Time limit for one read from another gateway.
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
@@ -95,15 +95,14 @@
 }
 
 impl LagTimer {
-    /// Returns whether another gateway has been ahead for at least
-    /// [`OWN_WATCH_GRACE`].
-    fn exceeds_grace(&mut self, ahead: bool, now: Instant) -> bool {
+    /// Returns whether another gateway has been ahead for at least `grace`.
+    fn exceeds(&mut self, grace: Duration, ahead: bool, now: Instant) -> bool {
         if !ahead {
             self.since = None;
             return false;
         }
         let since = *self.since.get_or_insert(now);
-        now.saturating_duration_since(since) >= OWN_WATCH_GRACE
+        now.saturating_duration_since(since) >= grace
     }
 }
 
@@ -112,6 +111,7 @@
 pub async fn catch_up(shared: Arc<Shared>, client: HttpClient) {
     let mut configuration = LagTimer::default();
     let mut replicas = LagTimer::default();
+    let grace = shared.settings.min_watch_interval + OWN_WATCH_GRACE;
     loop {
         Timer::after(CHECK_INTERVAL).await;
         let now = Instant::now();
@@ -119,7 +119,7 @@
             configuration_from,
             replicas_from,
         } = peers_ahead(&shared, now);
-        if configuration.exceeds_grace(configuration_from.is_some(), now)
+        if configuration.exceeds(grace, configuration_from.is_some(), now)
             && let Some(at) = configuration_from
         {
             log_read(
@@ -128,7 +128,7 @@
                 &read_configuration(&shared, &client, at).await,
             );
         }
-        if replicas.exceeds_grace(replicas_from.is_some(), now)
+        if replicas.exceeds(grace, replicas_from.is_some(), now)
             && let Some(at) = replicas_from
         {
             log_read("replicas", at, &read_replicas(&shared, &client, at).await);
@@ -148,8 +148,10 @@
         .current_configuration
         .as_ref()
         .map_or(0, |current| current.revision);
-    let configuration = state.peers.newer_configuration(own_revision, now);
-    let replicas = state.peers.newer_replicas(state.replicas.revision(), now);
+    let zone = shared.settings.zone.as_str();
+    let (peers, rng) = (&state.peers, &mut rand::rng());
+    let configuration = peers.newer_configuration(own_revision, zone, now, rng);
+    let replicas = peers.newer_replicas(state.replicas.revision(), zone, now, rng);
     PeersAhead {
         configuration_from: configuration.map(|p| p.relay_address),
         replicas_from: replicas.map(|p| p.relay_address),
--- a/crates/policy/src/peers.rs
+++ b/crates/policy/src/peers.rs
@@ -221,18 +221,44 @@
     }
 
     /// Returns a gateway that is up and has a configuration newer than
-    /// `revision`.
-    #[must_use]
-    pub fn newer_configuration(&self, revision: Revision, now: Instant) -> Option<&Presence> {
-        let newer = self.up(now).filter(|p| p.configuration > revision);
-        newer.max_by_key(|p| p.configuration)
+    /// `revision`, in this availability zone if there is one.
+    pub fn newer_configuration<R>(
+        &self,
+        revision: Revision,
+        zone: &str,
+        now: Instant,
+        rng: &mut R,
+    ) -> Option<&Presence>
+    where
+        R: Rng,
+    {
+        self.any_ahead(|p| p.configuration > revision, zone, now, rng)
     }
 
     /// Returns a gateway that is up and has a list of replicas newer than
-    /// `revision`.
-    #[must_use]
-    pub fn newer_replicas(&self, revision: Revision, now: Instant) -> Option<&Presence> {
-        let newer = self.up(now).filter(|p| p.replicas > revision);
-        newer.max_by_key(|p| p.replicas)
+    /// `revision`, in this availability zone if there is one.
+    pub fn newer_replicas<R>(
+        &self,
+        revision: Revision,
+        zone: &str,
+        now: Instant,
+        rng: &mut R,
+    ) -> Option<&Presence>
+    where
+        R: Rng,
+    {
+        self.any_ahead(|p| p.replicas > revision, zone, now, rng)
+    }
+
+    /// Draws one of the gateways that are ahead: if all asked the one that is
+    /// furthest ahead, it would answer hundreds of them at the same moment.
+    fn any_ahead<F, R>(&self, ahead: F, zone: &str, now: Instant, rng: &mut R) -> Option<&Presence>
+    where
+        F: Fn(&Presence) -> bool,
+        R: Rng,
+    {
+        let near = self.up(now).filter(|p| p.zone == zone && ahead(p));
+        let near = near.choose(rng);
+        near.or_else(|| self.up(now).filter(|p| ahead(p)).choose(rng))
     }
 }
--- a/crates/policy/tests/peers.rs
+++ b/crates/policy/tests/peers.rs
@@ -1,5 +1,6 @@
 //! Heartbeats that arrive late, twice or from processes that have ended.
 
+use std::collections::HashMap;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use briarhall_policy::peers::Peers;
 use briarhall_policy::peers::Presence;
 use briarhall_policy::peers::TAKE_OVER_AFTER;
+use briarhall_policy::peers::VmName;
 use briarhall_policy::peers::regular_interval;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -136,10 +138,15 @@
     let now = Instant::now();
     let mut peers = Peers::default();
     peers.update(presence(1, 7), HEARTBEAT_INTERVAL, now);
-    assert!(peers.newer_configuration(6, now).is_some());
-    assert!(peers.newer_configuration(7, now).is_none());
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut newer = |revision, now| {
+        let newer = peers.newer_configuration(revision, "a", now, &mut rng);
+        newer.is_some()
+    };
+    assert!(newer(6, now));
+    assert!(!newer(7, now));
     let later = now + DOWN_AFTER + Duration::from_millis(1);
-    assert!(peers.newer_configuration(6, later).is_none(), "it is down");
+    assert!(!newer(6, later), "it is down");
 }
 
 /// Most addresses that one heartbeat of the model names.
@@ -226,3 +233,35 @@
         );
     }
 }
+
+/// Pattern: hundreds of gateways are behind at the same moment; if they all ask the
+/// one that is furthest ahead, it runs out of memory.
+#[test]
+fn gateways_that_are_behind_ask_different_ones_of_their_zone() {
+    let now = Instant::now();
+    let mut peers = Peers::default();
+    for n in 0..90 {
+        let zone = if n % 3 == 0 { "a" } else { "b" };
+        let ahead = Presence {
+            zone: zone.into(),
+            replicas: 100 + u64::from(n),
+            ..numbered(n)
+        };
+        peers.update(ahead, HEARTBEAT_INTERVAL, now);
+    }
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut asked = HashMap::<VmName, usize>::new();
+    for _ in 0..300 {
+        let from = peers.newer_replicas(50, "a", now, &mut rng);
+        let from = from.expect("all are ahead");
+        assert_eq!(from.zone, "a");
+        *asked.entry(from.vm.clone()).or_default() += 1;
+    }
+    let most = asked.values().max().copied().expect("some were asked");
+    assert!(most <= 30, "one of 30 is asked {most} times of 300");
+    let elsewhere = peers.newer_replicas(50, "c", now, &mut rng);
+    assert!(
+        elsewhere.is_some(),
+        "another zone if there is none in its own"
+    );
+}
