--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -413,7 +413,7 @@
 }
 
 /// Returns about how many requests other gateways have placed since the heartbeats
-/// that the loads here come from.
+/// that the loads here come from, beyond the one that an engine with room bears.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
@@ -425,7 +425,8 @@
         (count + 1, per_s + f64::from(p.requests_per_s))
     });
     let age = gossip::send_interval(count) + HEARTBEAT_DELAY;
-    (per_s * age.as_secs_f64()) as usize
+    let unseen = (per_s * age.as_secs_f64()) as usize;
+    unseen.saturating_sub(1)
 }
 
 /// Returns the work of the replica that answers.
