--- a/crates/policy/src/placement/short.rs
+++ b/crates/policy/src/placement/short.rs
@@ -27,7 +27,7 @@
 /// Cost of a penalty, where a whole objective or a full engine costs 1.
 const PENALTY_WEIGHT: f64 = 2.0;
 /// Engines among which a gateway chooses for each prompt that others may have
-/// placed unseen: with four, one prompt in thirty meets two of them.
+/// placed unseen.
 const ENGINES_PER_UNSEEN: usize = 4;
 /// Fraction of an objective that first-fit tries before it accepts any engine
 /// within the prediction margin.
