Log how a replica's answer was framed and what followed its last event

The record's `ended` lines do not tell four hypotheses apart: an answer that ended with its connection within an event, one whose own framing ended within an event, one that ended between events, a lost reset.

`ended` now has `framing` (chunked, length, connection) and, for streams, `rest_bytes`, what came after the last whole event. No behaviour changes.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -9,10 +9,12 @@
 use async_io::Timer;
 use briarhall_net::Body;
 use briarhall_net::Exchange;
+use briarhall_net::Framing;
 use briarhall_net::read_limited;
 use briarhall_net::timeout;
 use briarhall_policy::health::SendOutcome;
 use hyper::Response;
+use hyper::http::response;
 
 use crate::attempt::Attempts;
 use crate::attempt::Dispatcher;
@@ -84,7 +86,7 @@
                                 .shared
                                 .metrics
                                 .time("request", job.arrived.elapsed());
-                            log_end(job, id, parts.status.as_u16(), &attempts);
+                            log_end(job, id, &parts, &attempts);
                             return Ok(client_response(parts, Body::full(body)));
                         }
                     }
@@ -137,12 +139,13 @@
     }
 }
 
-fn log_end(job: &Job, replica: &str, status: u16, attempts: &Attempts) {
+fn log_end(job: &Job, replica: &str, parts: &response::Parts, attempts: &Attempts) {
     log::info!(
         event = "ended",
         request = job.head.id.as_str(),
         replica,
-        status,
+        status = parts.status.as_u16(),
+        framing = Framing::of(&parts.headers).as_str(),
         sends = attempts.may_have_run + attempts.refused,
         total_ms = elapsed_ms(job.arrived);
         "request ended"
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -14,6 +14,7 @@
 use briarhall_net::BodySender;
 use briarhall_net::Connection;
 use briarhall_net::Exchange;
+use briarhall_net::Framing;
 use briarhall_net::read_limited;
 use briarhall_net::timeout;
 use briarhall_policy::health::SendOutcome;
@@ -70,6 +71,7 @@
 {
     placement: Placement<W>,
     body: Incoming,
+    framing: Framing,
     splitter: EventSplitter,
     /// Why the stream broke, once it has.
     broken: Option<CompactString>,
@@ -111,7 +113,7 @@
                 let dispatcher = dispatcher.clone();
                 let executor = dispatcher.executor.clone();
                 executor.detach(async move {
-                    StreamForwarder::new(dispatcher, job, attempts)
+                    StreamForwarder::new(dispatcher, job, attempts, source.framing)
                         .run(*source, first, tx)
                         .await;
                 });
@@ -207,6 +209,7 @@
     let mut source = ReplicaStream {
         placement,
         body,
+        framing: Framing::of(&parts.headers),
         splitter: EventSplitter::default(),
         broken: None,
         _connection: connection,
@@ -282,6 +285,10 @@
     attempts: Attempts,
     last_id: Option<CompactString>,
     events: u64,
+    /// How the last replica's answer is framed.
+    framing: Framing,
+    /// Bytes after the last event of an answer that has ended.
+    rest_bytes: usize,
 }
 
 enum StreamEnd {
@@ -306,13 +313,15 @@
 where
     W: Wire,
 {
-    fn new(dispatcher: Dispatcher<W>, job: Job, attempts: Attempts) -> Self {
+    fn new(dispatcher: Dispatcher<W>, job: Job, attempts: Attempts, framing: Framing) -> Self {
         Self {
             dispatcher,
             job,
             attempts,
             last_id: None,
             events: 0,
+            framing,
+            rest_bytes: 0,
         }
     }
 
@@ -341,6 +350,8 @@
             outcome = ended.as_str(),
             first_ms,
             events = self.events,
+            framing = self.framing.as_str(),
+            rest_bytes = self.rest_bytes,
             sends = self.attempts.may_have_run + self.attempts.refused,
             total_ms = elapsed_ms(self.job.arrived);
             "request ended"
@@ -361,6 +372,7 @@
         let silence = event_timeout.mul_f64(NEXT_EVENT_SILENCE_SHARE);
         let mut next = first;
         loop {
+            self.framing = source.framing;
             match next {
                 StreamItem::Event(event) => {
                     if !self.is_repeated(&event) {
@@ -375,6 +387,7 @@
                 }
                 StreamItem::End(rest) => {
                     self.record(&source.placement, SendOutcome::Answered);
+                    self.rest_bytes = rest.len();
                     if !rest.is_empty() && tx.send(rest).await.is_err() {
                         return StreamEnd::ClientLeft;
                     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 mod body;
 mod client;
 mod exec;
+mod framing;
 mod logging;
 mod metrics;
 mod reply;
@@ -29,6 +30,7 @@
 pub use exec::SpawnThreadsError;
 pub use exec::Threads;
 pub use exec::TimerRuntime;
+pub use framing::Framing;
 pub use logging::LogError;
 pub use logging::LogTarget;
 pub use logging::Logging;
