Split events at lone carriage returns

The format of events allows lines that end with a carriage return alone. Such a stream had no complete event for the splitter, so it was held back until it ended and then passed on whole, as the rest after its last event.

--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -71,7 +71,7 @@
 fn end_of_event(buf: &[u8]) -> Option<usize> {
     (0..buf.len()).find_map(|at| {
         let rest = &buf[at..];
-        if rest.starts_with(b"\n\n") {
+        if rest.starts_with(b"\n\n") || rest.starts_with(b"\r\r") {
             Some(at + 2)
         } else if rest.starts_with(b"\n\r\n") {
             Some(at + 3)
@@ -82,7 +82,7 @@
 }
 
 fn id_of(event: &[u8]) -> Option<CompactString> {
-    let lines = event.split(|byte| *byte == b'\n');
+    let lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
     let id = std::str::from_utf8(ids.next_back()?).ok()?;
     Some(CompactString::from(id.trim()))
--- a/crates/gateway/tests/sse.rs
+++ b/crates/gateway/tests/sse.rs
@@ -4,16 +4,28 @@
 use bolero::TypeGenerator;
 use briarhall_gateway::sse::EventSplitter;
 
+/// How a line ends; the format allows all three.
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+enum LineEnd {
+    Lf,
+    CrLf,
+    Cr,
+}
+
 #[derive(Debug, Clone, TypeGenerator)]
 struct Case {
-    events: Vec<(u16, Vec<u8>, bool)>,
+    events: Vec<(u16, Vec<u8>, LineEnd)>,
     cuts: Vec<u8>,
     rest: Vec<u8>,
 }
 
-fn text(event: &(u16, Vec<u8>, bool)) -> Vec<u8> {
-    let (id, data, windows) = event;
-    let end = if *windows { "\r\n" } else { "\n" };
+fn text(event: &(u16, Vec<u8>, LineEnd)) -> Vec<u8> {
+    let (id, data, end) = event;
+    let end = match end {
+        LineEnd::Lf => "\n",
+        LineEnd::CrLf => "\r\n",
+        LineEnd::Cr => "\r",
+    };
     let data = data.iter().map(|byte| char::from(b'a' + byte % 26));
     let data = data.collect::<String>();
     format!("id: {id}{end}data: {data}{end}{end}").into_bytes()
@@ -51,6 +63,18 @@
     });
 }
 
+/// Guards against a stream whose lines end with carriage returns alone being held
+/// back until it ends.
+#[test]
+fn an_event_ends_at_two_carriage_returns() {
+    let mut splitter = EventSplitter::default();
+    let event = b"data: a\rid: 7\r\r";
+    splitter.push(event).expect("the event is short");
+    let split = splitter.next_event().expect("the event is complete");
+    assert_eq!(split.bytes.as_ref(), event);
+    assert_eq!(split.id.as_deref(), Some("7"));
+}
+
 #[test]
 fn an_event_over_the_limit_is_rejected() {
     let mut splitter = EventSplitter::default();
