End a stream within an event as broken, whatever marks its end

Cause: the gateway took the end of the replica's body for the end of the stream and passed on what came after the last event. An answer with neither a length nor chunks ends with its connection, and a connection that a crash closes in order ends like one whose answer is whole. The comment said that the replica had ended its answer properly; nothing checked it. Class of fault: the end of a transport taken for the end of a message.

Evidence: the gateway itself logged the short streams as complete, sent once.

Why it works: the format of events marks the end of each by an empty line, and a client must discard what has none. So the splitter, which knows whether an event has begun, decides: a body that ends within one is broken, is resumed where the route allows it and otherwise breaks the client's connection. Blank lines and comments after the last event are no event.

--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -2,6 +2,8 @@
 //!
 //! A replica may fail in the middle of an event. Only complete events are
 //! forwarded, so another replica can resume the stream after the last of them.
+//! A body that ends within an event is a broken stream even if HTTP marks its end:
+//! without a length or chunks the end of the connection is all there is.
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -60,8 +62,18 @@
         Some(Event { bytes, id })
     }
 
-    /// Returns the buffered bytes, for a stream that ends without an empty
-    /// line.
+    /// Returns whether the buffered bytes are the beginning of an event. Blank
+    /// lines and comments between events are not.
+    #[must_use]
+    pub fn is_within_event(&self) -> bool {
+        let is_line_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
+        let mut lines = self.buf.as_ref().split(is_line_end);
+        // What follows the last line end is a line that is not complete.
+        let unfinished = lines.next_back().unwrap_or_default();
+        !unfinished.is_empty() || lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+    }
+
+    /// Returns the buffered bytes, for a stream that ends between events.
     pub fn take_rest(&mut self) -> Bytes {
         self.scanned = 0;
         self.buf.split().freeze()
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -23,9 +23,11 @@
 use futures_lite::future;
 use futures_lite::future::pending;
 use http_body_util::BodyExt;
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
+use hyper::header::CONTENT_TYPE;
 use hyper::http::response;
 
 use crate::attempt::Attempts;
@@ -55,12 +57,16 @@
 /// Silence between events that counts as a failure, as a share of the same
 /// time.
 const NEXT_EVENT_SILENCE_SHARE: f64 = 0.6;
-/// Longest answer that is not a stream: the text of an error.
-const MAX_ERROR_BYTES: usize = 1024 * 1024;
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+/// Longest answer that is not a stream, mostly the text of an error.
+const MAX_WHOLE_BYTES: usize = 1024 * 1024;
 /// Time reserved to send the client an error before its deadline.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 /// Delay after a replica refused a request.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(10);
+/// Why a stream is broken whose body ended within an event.
+const ENDED_WITHIN_EVENT: &str = "the answer ended within an event";
 /// Tokens in one event, to estimate what a resumed stream must prefill again.
 const TOKENS_PER_EVENT: u64 = 40;
 
@@ -80,8 +86,8 @@
 
 enum StreamItem {
     Event(Event),
-    /// The replica ended its answer properly. Holds the bytes after the last
-    /// complete event.
+    /// The replica ended its answer between events. Holds the bytes after the
+    /// last event: blank lines and comments.
     End(Bytes),
     Broken(CompactString),
     Silent,
@@ -187,19 +193,20 @@
     };
     let Exchange { reply, connection } = exchange;
     let (parts, body) = reply.into_parts();
-    if !parts.status.is_success() {
-        let whole = read_limited(body, MAX_ERROR_BYTES);
+    if !parts.status.is_success() || !is_event_stream(&parts.headers) {
+        let whole = read_limited(body, MAX_WHOLE_BYTES);
         return match timeout(left, whole).await {
             Ok(Ok(body)) => {
-                if parts.status.is_server_error() {
+                let outcome = if parts.status.is_server_error() {
+                    Some(SendOutcome::Failed)
+                } else if parts.status.is_success() {
+                    Some(SendOutcome::Answered)
+                } else {
+                    None
+                };
+                if let Some(outcome) = outcome {
                     let id = &placement.replica.id;
-                    record_run(
-                        &dispatcher.shared,
-                        job,
-                        id,
-                        placement.placed_at,
-                        SendOutcome::Failed,
-                    );
+                    record_run(&dispatcher.shared, job, id, placement.placed_at, outcome);
                 }
                 StreamStart::Other(Box::new(parts), body)
             }
@@ -220,7 +227,7 @@
         let Placement {
             replica, placed_at, ..
         } = &source.placement;
-        log_break(job, &replica.id, &first, 0);
+        log_break(job, &replica.id, &first, source.framing, 0);
         record_run(
             &dispatcher.shared,
             job,
@@ -262,6 +269,9 @@
                 return StreamItem::Event(event);
             }
             match self.body.frame().await {
+                None if self.splitter.is_within_event() => {
+                    return StreamItem::Broken(CompactString::const_new(ENDED_WITHIN_EVENT));
+                }
                 None => return StreamItem::End(self.splitter.take_rest()),
                 Some(Err(e)) => return StreamItem::Broken(CompactString::from(e.to_string())),
                 Some(Ok(frame)) => {
@@ -395,7 +405,7 @@
                 }
                 StreamItem::Broken(_) => {
                     let id = &source.placement.replica.id;
-                    log_break(&self.job, id, &next, self.events);
+                    log_break(&self.job, id, &next, source.framing, self.events);
                     self.record(&source.placement, SendOutcome::Broken);
                     drop(source);
                     match self.resume().await {
@@ -414,7 +424,7 @@
                         return StreamEnd::DeadlineExceeded;
                     }
                     let id = &source.placement.replica.id;
-                    log_break(&self.job, id, &next, self.events);
+                    log_break(&self.job, id, &next, source.framing, self.events);
                     self.record(&source.placement, SendOutcome::Silent);
                     (source, next) = self.resume_or_wait(source).await;
                     continue;
@@ -513,6 +523,17 @@
     }
 }
 
+/// Returns whether the body is a stream of events; one that does not say what it
+/// is counts as one.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(media_type) = headers.get(CONTENT_TYPE) else {
+        return true;
+    };
+    let mut parts = media_type.as_bytes().split(|byte| *byte == b';');
+    let name = parts.next().unwrap_or_default().trim_ascii();
+    name.eq_ignore_ascii_case(EVENT_STREAM.as_bytes())
+}
+
 fn outcome_of(next: &StreamItem) -> SendOutcome {
     match next {
         StreamItem::Silent => SendOutcome::Silent,
@@ -521,7 +542,7 @@
     }
 }
 
-fn log_break(job: &Job, replica: &str, next: &StreamItem, events: u64) {
+fn log_break(job: &Job, replica: &str, next: &StreamItem, framing: Framing, events: u64) {
     let reason = match next {
         StreamItem::Broken(reason) => reason.as_str(),
         _ => "silent",
@@ -531,6 +552,7 @@
         request = job.head.id.as_str(),
         replica,
         reason,
+        framing = framing.as_str(),
         events,
         after_ms = elapsed_ms(job.arrived);
         "stream broken"
--- a/crates/gateway/tests/sse.rs
+++ b/crates/gateway/tests/sse.rs
@@ -59,6 +59,7 @@
             .map(|event| event.id.clone().expect("every event has an id"));
         let sent = case.events.iter().take(20).map(|event| event.0.to_string());
         assert!(ids.eq(sent));
+        assert_eq!(splitter.is_within_event(), !rest.is_empty());
         assert_eq!(splitter.take_rest(), rest);
     });
 }
@@ -75,6 +76,36 @@
     assert_eq!(split.id.as_deref(), Some("7"));
 }
 
+/// Guards against a body that ends within an event being taken for a whole one,
+/// and a whole one for one that broke off.
+macro_rules! rest_cases {
+    ($($name:ident: $rest:expr => $within:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut splitter = EventSplitter::default();
+                let event = b"id: 1\ndata: a\n\n";
+                splitter.push(event).expect("the event is short");
+                splitter.push($rest).expect("the rest is short");
+                assert!(splitter.next_event().is_some());
+                assert!(splitter.next_event().is_none());
+                assert_eq!(splitter.is_within_event(), $within);
+            }
+        )+
+    };
+}
+
+rest_cases! {
+    nothing_is_between_events: b"" => false;
+    a_blank_line_is_between_events: b"\n" => false;
+    a_blank_line_with_a_carriage_return_is_between_events: b"\r\n" => false;
+    a_comment_is_between_events: b": keep-alive\n" => false;
+    half_a_comment_breaks_off: b": keep-al" => true;
+    half_a_field_breaks_off: b"id: 2\nda" => true;
+    a_field_without_an_empty_line_breaks_off: b"data: b\n" => true;
+    a_comment_within_an_event_breaks_off: b"id: 2\n: keep-alive\n" => true;
+}
+
 #[test]
 fn an_event_over_the_limit_is_rejected() {
     let mut splitter = EventSplitter::default();
