Take an unmarked end before the first event for a broken stream

A replica that crashes after the head of an answer without a length or chunks closes its connection, and the gateway passed on a whole, empty stream; when it had resumed a stream there, it ended that one as complete after the events of the first replica.

No event has begun, so the check within an event does not see it.

Why it works: a stream that ends with its connection counts as ended only after an event of that replica. It is resumed elsewhere or broken off. Chunks or a length still mark an empty stream as whole, and an answer without a body, as to HEAD, has no end to mark. A client that resumes after its last event at a replica without chunks now gets 502 or another replica in place of an empty 200: nothing tells the two apart.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -25,6 +25,7 @@
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::Response;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::CONTENT_TYPE;
@@ -65,6 +66,8 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 /// Delay after a replica refused a request.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(10);
+/// Why a stream is broken that ended with its connection and had no event.
+const ENDED_BEFORE_EVENTS: &str = "the connection ended before the first event";
 /// Why a stream is broken whose body ended within an event.
 const ENDED_WITHIN_EVENT: &str = "the answer ended within an event";
 /// Tokens in one event, to estimate what a resumed stream must prefill again.
@@ -79,6 +82,8 @@
     body: Incoming,
     framing: Framing,
     splitter: EventSplitter,
+    /// Whether it has had an event.
+    has_begun: bool,
     /// Why the stream broke, once it has.
     broken: Option<CompactString>,
     _connection: Connection,
@@ -213,11 +218,18 @@
             Ok(Err(_)) | Err(_) => StreamStart::MayHaveRun,
         };
     }
+    let framing = if body.is_end_stream() {
+        // The answer to a `HEAD` has no body whose end could be marked.
+        Framing::Length
+    } else {
+        Framing::of(&parts.headers)
+    };
     let mut source = ReplicaStream {
         placement,
         body,
-        framing: Framing::of(&parts.headers),
+        framing,
         splitter: EventSplitter::default(),
+        has_begun: false,
         broken: None,
         _connection: connection,
     };
@@ -266,12 +278,17 @@
     async fn read(&mut self) -> StreamItem {
         loop {
             if let Some(event) = self.splitter.next_event() {
+                self.has_begun = true;
                 return StreamItem::Event(event);
             }
             match self.body.frame().await {
                 None if self.splitter.is_within_event() => {
                     return StreamItem::Broken(CompactString::const_new(ENDED_WITHIN_EVENT));
                 }
+                // A replica that crashes after the head closes its connection too.
+                None if self.framing == Framing::Connection && !self.has_begun => {
+                    return StreamItem::Broken(CompactString::const_new(ENDED_BEFORE_EVENTS));
+                }
                 None => return StreamItem::End(self.splitter.take_rest()),
                 Some(Err(e)) => return StreamItem::Broken(CompactString::from(e.to_string())),
                 Some(Ok(frame)) => {
