Reset the connection of an HTTP/1.0 client whose stream breaks off

An answer to HTTP/1.0 has no chunks and a stream no length, so the end of the connection marks its end. The gateway ended a broken stream by closing the connection in order: to that client the stream was whole.

Why it works: when a body was cut short, which hyper reports as an error of the body, the socket closes with a linger time of zero, so the client's read fails. Only for HTTP/1.0: with chunks the missing last one says it, and a reset could take events with it that the client has not read yet.

--- a/crates/net/src/sessions.rs
+++ b/crates/net/src/sessions.rs
@@ -11,6 +11,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -26,9 +28,13 @@
 use futures_lite::future;
 use http_body::Frame;
 use http_body::SizeHint;
+use hyper::Request;
+use hyper::Version;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use smol_hyper::rt::FuturesIo;
+use socket2::SockRef;
 
 use crate::Body;
 use crate::BodyError;
@@ -121,11 +127,14 @@
         let _result = stream.set_nodelay(true);
         let accepted = Instant::now();
         let state = Arc::new(Mutex::new(ConnectionState::Idle(accepted)));
+        let socket = stream.clone();
+        let is_http_1_0 = AtomicBool::new(false);
         let io = ObservedStream {
             stream,
             state: Arc::clone(&state),
         };
-        let service = service_fn(|req| {
+        let service = service_fn(|req: Request<Incoming>| {
+            is_http_1_0.store(req.version() == Version::HTTP_10, Ordering::Relaxed);
             let handler = handler.clone();
             let state = Arc::clone(&state);
             async move {
@@ -166,6 +175,9 @@
             Ended::TimedOut => return,
         };
         if let Err(e) = ended {
+            if e.is_user() && is_http_1_0.load(Ordering::Relaxed) {
+                reset_on_close(&socket, peer);
+            }
             log::debug!(peer = peer.to_string().as_str(), error = e.to_string().as_str(); "connection ended");
         }
     }
@@ -197,6 +209,14 @@
     Shutdown,
 }
 
+/// Makes the connection end by a reset. To a client of HTTP/1.0, one that is closed
+/// in order marks the end of an answer, also of one that was cut short.
+fn reset_on_close(socket: &TcpStream, peer: SocketAddr) {
+    if let Err(e) = SockRef::from(socket).set_linger(Some(Duration::ZERO)) {
+        log::warn!(peer = peer.to_string().as_str(), error = e.to_string().as_str(); "cannot reset a connection whose answer was cut short");
+    }
+}
+
 fn set_state(state: &SharedState, new: ConnectionState) {
     *state.lock().unwrap_or_else(PoisonError::into_inner) = new;
 }
