Send nothing new to a replica that says in an answer that it leaves

What callers would see: requests at a replica that is about to exit, while the store is away or behind. Cause: the header was read nowhere; only the registry said who leaves.

The mark is of a process, its id and start: it outlives the entry by a minute, as a store that returns may list it once more, and ends with a new start. Other gateways hear of it in heartbeats, but only first hand, so that two of them do not keep a report alive. An answer with 421 comes from another replica at the address and says nothing; reservations now name the replica they mean.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -18,6 +18,7 @@
 use briarhall_policy::peers::PeerUpdate;
 use briarhall_policy::peers::Presence;
 use briarhall_policy::peers::regular_interval;
+use briarhall_policy::replicas::HeardBy;
 use futures_lite::future;
 
 use crate::heartbeat::Heartbeat;
@@ -142,6 +143,7 @@
             queued_prompts: state.prompt_queue.own(now),
             observations: state.crashes.own(now),
             failed: state.health.own(state.replicas.usable().count(), now),
+            leaving: state.replicas.own_leaving(),
             known,
         };
         drop(state);
@@ -236,6 +238,7 @@
         queued_prompts,
         observations,
         failed,
+        leaving,
         known,
     } = heartbeat;
     if presence.vm == shared.settings.vm && presence.incarnation == shared.incarnation {
@@ -264,6 +267,11 @@
         .crashes
         .set_peer_observations(incarnation, &observations, now);
     state.health.apply_report(&failed, now);
+    let events = leaving
+        .iter()
+        .filter_map(|replica| state.replicas.record_leaving(replica, HeardBy::Peer));
+    let events = events.collect::<Vec<_>>();
+    state.record_replica_events(&events, "peer");
     drop(state);
     if matches!(update, PeerUpdate::Up | PeerUpdate::Changed) {
         log::info!(event = "peer", peer = vm.as_str(), ready, stopping, up = true; "peer is up or has changed");
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -8,6 +8,7 @@
 use briarhall_policy::load_tracker::Work;
 use briarhall_policy::peers::Presence;
 use briarhall_policy::prompt_queue::QueuedPrompt;
+use briarhall_policy::replicas::LeavingReplica;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
@@ -34,6 +35,9 @@
     pub observations: Vec<Observation>,
     /// Replicas that failed requests of the sender.
     pub failed: Vec<FailedRequests>,
+    /// Replicas that said to the sender that they leave, while the registry lists
+    /// them as ready.
+    pub leaving: Vec<LeavingReplica>,
     /// Gossip addresses of gateways that the sender knows.
     pub known: Vec<SocketAddr>,
 }
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -15,14 +15,18 @@
 use briarhall_net::Executor;
 use briarhall_net::HttpClient;
 use briarhall_policy::health::SendOutcome;
+use briarhall_policy::replicas::LeavingReplica;
 use briarhall_types::ReplicaId;
 use compact_str::CompactString;
 use compact_str::format_compact;
 use futures::future::join_all;
 use hyper::StatusCode;
+use hyper::http::response;
 
 use crate::state::Shared;
+use crate::state::record_leaving;
 use crate::state::record_outcome;
+use crate::wire::EngineAt;
 use crate::wire::Helper;
 use crate::wire::Wire;
 
@@ -53,6 +57,7 @@
 #[derive(Debug, Clone)]
 struct EngineReservation {
     replica: ReplicaId,
+    started_unix_ms: Option<u64>,
     address: SocketAddr,
     id: CompactString,
     tokens: u64,
@@ -82,16 +87,7 @@
         tokens: u64,
         name: &str,
     ) -> Option<Self> {
-        let reservations = helpers
-            .iter()
-            .enumerate()
-            .map(|(index, helper)| EngineReservation {
-                replica: helper.replica.clone(),
-                address: helper.address,
-                id: format_compact!("{name}-{index}"),
-                tokens,
-            });
-        let reservations = reservations.collect::<Vec<_>>();
+        let reservations = reservations(&calls.shared, helpers, tokens, name);
         let granted = join_all(
             reservations
                 .iter()
@@ -136,6 +132,27 @@
     }
 }
 
+/// Returns a reservation of `tokens` at each helper.
+fn reservations(
+    shared: &Shared,
+    helpers: &[Helper],
+    tokens: u64,
+    name: &str,
+) -> Vec<EngineReservation> {
+    let state = shared.state();
+    let reservations = helpers.iter().enumerate().map(|(index, helper)| {
+        let record = state.replicas.get(&helper.replica);
+        EngineReservation {
+            replica: helper.replica.clone(),
+            started_unix_ms: record.and_then(|record| record.started_unix_ms),
+            address: helper.address,
+            id: format_compact!("{name}-{index}"),
+            tokens,
+        }
+    });
+    reservations.collect()
+}
+
 async fn renew<W>(calls: EngineCalls<W>, reservations: Vec<EngineReservation>)
 where
     W: Wire,
@@ -158,18 +175,25 @@
     W: Wire,
 {
     async fn reserve(&self, reservation: &EngineReservation) -> bool {
-        let call = self.wire.reserve(
-            reservation.address,
-            &reservation.id,
-            reservation.tokens,
-            RESERVATION_TTL,
-        );
+        let engine = EngineAt {
+            replica: &reservation.replica,
+            address: reservation.address,
+        };
+        let call = self
+            .wire
+            .reserve(engine, &reservation.id, reservation.tokens, RESERVATION_TTL);
         let outcome = match self.client.send(call, CALL_TIMEOUT).await {
-            Ok(reply) if reply.status() == StatusCode::ACCEPTED => SendOutcome::Refused,
-            Ok(reply) if reply.status().is_success() => return true,
             Ok(reply) => {
-                log_failure("reserve", reservation, reply.status().as_str());
-                SendOutcome::Refused
+                let (parts, _body) = reply.into_parts();
+                self.record_notice(reservation, &parts);
+                match parts.status {
+                    StatusCode::ACCEPTED => SendOutcome::Refused,
+                    status if status.is_success() => return true,
+                    status => {
+                        log_failure("reserve", reservation, status.as_str());
+                        SendOutcome::Refused
+                    }
+                }
             }
             Err(e) => {
                 log_failure("reserve", reservation, &e.to_string());
@@ -181,6 +205,21 @@
         false
     }
 
+    /// Records whether the engine says that it leaves.
+    fn record_notice(&self, reservation: &EngineReservation, parts: &response::Parts) {
+        // With this status another replica answers, which has the address now.
+        let from_another = parts.status == StatusCode::MISDIRECTED_REQUEST;
+        if !from_another && self.wire.reply_head(parts).notice.leaving {
+            record_leaving(
+                &self.shared,
+                &LeavingReplica {
+                    id: reservation.replica.clone(),
+                    started_unix_ms: reservation.started_unix_ms,
+                },
+            );
+        }
+    }
+
     async fn release(&self, reservation: &EngineReservation) {
         for _ in 0..RELEASE_ATTEMPTS {
             let call = self.wire.release(reservation.address, &reservation.id);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,8 @@
 use briarhall_policy::prompt_queue::PromptQueue;
 use briarhall_policy::prompt_queue::QueuedPrompt;
 use briarhall_policy::prompt_queue::QueuedPromptKey;
+use briarhall_policy::replicas::HeardBy;
+use briarhall_policy::replicas::LeavingReplica;
 use briarhall_policy::replicas::ReplicaEvent;
 use briarhall_policy::replicas::ReplicaStatus;
 use briarhall_policy::replicas::Replicas;
@@ -394,6 +396,19 @@
     }
 }
 
+/// Records that a replica said in an answer that it leaves.
+pub fn record_leaving(shared: &Shared, replica: &LeavingReplica) {
+    let mut state = shared.state();
+    let heard_by = HeardBy::ThisGateway;
+    let Some(event) = state.replicas.record_leaving(replica, heard_by) else {
+        return;
+    };
+    state.record_replica_events(&[event], "answer");
+    drop(state);
+    shared.metrics.count("replica_leaving");
+    shared.request_heartbeat();
+}
+
 /// Records the outcome of a send to a replica.
 pub fn record_outcome(shared: &Shared, id: &ReplicaId, outcome: SendOutcome) {
     shared.metrics.count(outcome.metric());
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -74,6 +74,15 @@
     pub helpers: &'a [Helper],
 }
 
+/// An engine and where it listens.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineAt<'a> {
+    /// The engine.
+    pub replica: &'a ReplicaId,
+    /// Address that it listens on.
+    pub address: SocketAddr,
+}
+
 /// What the head of a replica's answer says.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplyHead {
@@ -87,6 +96,15 @@
     pub content_encoded: bool,
     /// The replica at fault, when it is another.
     pub failed_replica: Option<FailedReplica>,
+    /// What the replica says about itself, whatever it answers.
+    pub notice: ReplicaNotice,
+}
+
+/// What a replica says about itself in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ReplicaNotice {
+    /// It leaves, and wants no new request.
+    pub leaving: bool,
 }
 
 /// A replica that another one names as the reason for its answer.
@@ -114,8 +132,8 @@
     fn reply_head(&self, parts: &response::Parts) -> ReplyHead;
 
     /// Returns the call that reserves memory for `tokens` at an engine under
-    /// `id` for the time `ttl`.
-    fn reserve(&self, engine: SocketAddr, id: &str, tokens: u64, ttl: Duration) -> Call;
+    /// `id` for the time `ttl`. No other replica at the address grants it.
+    fn reserve(&self, engine: EngineAt<'_>, id: &str, tokens: u64, ttl: Duration) -> Call;
 
     /// Returns the call that releases the reservation `id` at an engine.
     fn release(&self, engine: SocketAddr, id: &str) -> Call;
--- a/crates/gateway/tests/heartbeat.rs
+++ b/crates/gateway/tests/heartbeat.rs
@@ -20,6 +20,9 @@
 use briarhall_policy::peers::Presence;
 use briarhall_policy::prompt_queue::PromptQueue;
 use briarhall_policy::prompt_queue::QueuedPrompt;
+use briarhall_policy::replicas::HeardBy;
+use briarhall_policy::replicas::LeavingReplica;
+use briarhall_policy::replicas::Replicas;
 
 fn address(n: u8) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, n], 7_340))
@@ -72,6 +75,10 @@
             replica: 7,
             penalty: 2.0,
         }],
+        leaving: vec![LeavingReplica {
+            id: "i-1".into(),
+            started_unix_ms: Some(1_700_000_000_000),
+        }],
         known: vec![address(4), address(5)],
     }
 }
@@ -119,6 +126,7 @@
         queued_prompts,
         observations,
         failed,
+        leaving,
         known,
     } = heartbeat;
     let vm = presence.vm.clone();
@@ -139,6 +147,11 @@
     crashes.set_peer_observations(incarnation, &observations, now);
     let mut health = Health::default();
     health.apply_report(&failed, now);
+    let mut replicas = Replicas::default();
+    for replica in &leaving {
+        let event = replicas.record_leaving(replica, HeardBy::Peer);
+        assert_eq!(event, None, "the registry lists no such replica");
+    }
     let later = now + Duration::from_millis(5);
     assert!(health.penalty(&"i-1".into(), later).is_finite());
     for load in load_tracker.loads(later).values() {
--- a/crates/policy/src/replicas.rs
+++ b/crates/policy/src/replicas.rs
@@ -4,6 +4,9 @@
 //! entries lapse while the registry itself is unavailable, and a running replica
 //! renews its entry soon after the registry is available again. Until then the
 //! old entry is used.
+//!
+//! A replica that leaves also says so in its answers, which may be earlier than the
+//! registry. That holds for its process, whatever the registry lists afterwards.
 
 use std::collections::BTreeMap;
 use std::collections::HashSet;
@@ -16,7 +19,14 @@
 use briarhall_types::ReplicaId;
 use briarhall_types::ReplicaRecord;
 use briarhall_types::Revision;
+use serde::Deserialize;
+use serde::Serialize;
 
+/// Time for which a replica that said it leaves is remembered after its entry was
+/// removed: a registry that returns from an outage may list it once more.
+pub const LEAVING_KEPT_FOR: Duration = Duration::from_mins(1);
+/// Most replicas that one heartbeat reports as leaving.
+const MAX_LEAVING_REPORTED: usize = 64;
 /// Time that running replicas need to renew entries that lapsed while the
 /// registry was unavailable: the platform promises about two seconds.
 pub const RENEWAL_TIME: Duration = Duration::from_secs(2);
@@ -32,6 +42,32 @@
     lapsed: bool,
 }
 
+/// A process of a replica that said in an answer that it leaves.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingReplica {
+    /// The replica.
+    pub id: ReplicaId,
+    /// Start of its process in Unix milliseconds, if its entry has one.
+    pub started_unix_ms: Option<u64>,
+}
+
+/// Who heard a replica say that it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeardBy {
+    /// This gateway, which reports it to the others.
+    ThisGateway,
+    /// Another gateway.
+    Peer,
+}
+
+#[derive(Debug, Clone)]
+struct LeavingNotice {
+    started_unix_ms: Option<u64>,
+    heard_by: HeardBy,
+    /// When the registry was first found not to list it.
+    unlisted_since: Option<Instant>,
+}
+
 /// Whether a missing entry may have lapsed in an outage of the registry while
 /// its replica still runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,6 +123,7 @@
 #[derive(Debug, Default)]
 pub struct Replicas {
     by_id: BTreeMap<ReplicaId, ListedReplica>,
+    leaving: BTreeMap<ReplicaId, LeavingNotice>,
     revision: Revision,
     outage_since: Option<Instant>,
     renewal_until: Option<Instant>,
@@ -173,8 +210,74 @@
         }
     }
 
+    /// Records that a process said that it leaves, unless the registry lists another
+    /// process under its id or none.
+    pub fn record_leaving(
+        &mut self,
+        replica: &LeavingReplica,
+        heard_by: HeardBy,
+    ) -> Option<ReplicaEvent> {
+        let record = self.get(&replica.id)?;
+        if record.started_unix_ms != replica.started_unix_ms {
+            return None;
+        }
+        let new = !record.draining && !self.is_leaving(record);
+        let notice = LeavingNotice {
+            started_unix_ms: replica.started_unix_ms,
+            heard_by,
+            unlisted_since: None,
+        };
+        match self.leaving.get_mut(&replica.id) {
+            Some(known) if known.started_unix_ms == replica.started_unix_ms => {
+                if heard_by == HeardBy::ThisGateway {
+                    known.heard_by = heard_by;
+                }
+            }
+            _ => {
+                self.leaving.insert(replica.id.clone(), notice);
+            }
+        }
+        new.then(|| event(replica.id.clone(), ReplicaStatus::Draining, self.revision))
+    }
+
+    /// Returns what this gateway heard of replicas that leave and that the registry
+    /// lists as ready.
+    #[must_use]
+    pub fn own_leaving(&self) -> Vec<LeavingReplica> {
+        let own = self.usable_if_listed().filter(|record| {
+            let notice = self.leaving.get(&record.id);
+            notice.is_some_and(|notice| {
+                notice.heard_by == HeardBy::ThisGateway
+                    && notice.started_unix_ms == record.started_unix_ms
+            })
+        });
+        let own = own.map(|record| LeavingReplica {
+            id: record.id.clone(),
+            started_unix_ms: record.started_unix_ms,
+        });
+        own.take(MAX_LEAVING_REPORTED).collect()
+    }
+
+    fn is_leaving(&self, record: &ReplicaRecord) -> bool {
+        let notice = self.leaving.get(&record.id);
+        notice.is_some_and(|notice| notice.started_unix_ms == record.started_unix_ms)
+    }
+
+    fn expire_leaving(&mut self, now: Instant) {
+        let listed = &self.by_id;
+        self.leaving.retain(|id, notice| {
+            if listed.contains_key(id) {
+                notice.unlisted_since = None;
+                return true;
+            }
+            let since = *notice.unlisted_since.get_or_insert(now);
+            now.saturating_duration_since(since) < LEAVING_KEPT_FOR
+        });
+    }
+
     /// Removes lapsed entries that were not renewed in time.
     pub fn expire(&mut self, now: Instant) -> Vec<ReplicaEvent> {
+        self.expire_leaving(now);
         if self.outage_since.is_some() || self.renewal_until.is_none_or(|until| now < until) {
             return Vec::new();
         }
@@ -199,6 +302,12 @@
 
     /// Returns the replicas that accept new work.
     pub fn usable(&self) -> impl Iterator<Item = &ReplicaRecord> {
+        self.usable_if_listed()
+            .filter(|record| !self.is_leaving(record))
+    }
+
+    /// Returns the replicas that the registry lists as accepting new work.
+    fn usable_if_listed(&self) -> impl Iterator<Item = &ReplicaRecord> {
         let records = self
             .by_id
             .values()
@@ -225,7 +334,8 @@
     /// Returns whether a replica accepts new work.
     #[must_use]
     pub fn takes_work(&self, id: &str) -> bool {
-        self.get(id).is_some_and(|record| !record.draining)
+        self.get(id)
+            .is_some_and(|record| !record.draining && !self.is_leaving(record))
     }
 
     /// Returns all entries, for other gateways.
