Keep the pause that a replica asks for when it turns a request away

What callers would see: a replica under load that is asked again and again while it said when to come back, and requests that wait or try each replica in vain while all of them said so. Cause: Retry-After of a replica was read nowhere.

A pause binds this gateway alone, to the last end asked for, for sends, retries, resumed streams and new reservations; it ends with the process that asked. When all replicas of a service pause, a request that has not run is refused at once with the shortest pause; one that may have run waits, within the time that it would wait for a place, since only this gateway can still answer it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,7 +22,7 @@
 use crate::request_error::DEFAULT_RETRY_AFTER;
 use crate::request_error::RequestError;
 use crate::state::Shared;
-use crate::state::record_leaving;
+use crate::state::record_notice;
 use crate::state::record_outcome;
 use crate::state::record_run;
 use crate::wire::FailedReplica;
@@ -133,16 +133,11 @@
         };
         let (parts, body) = exchange.reply.into_parts();
         let head = self.wire.reply_head(&parts);
-        // With this status another replica answers, which has the address now.
-        if head.notice.leaving && parts.status != StatusCode::MISDIRECTED_REQUEST {
-            record_leaving(
-                &self.shared,
-                &LeavingReplica {
-                    id: id.clone(),
-                    started_unix_ms: placement.replica.started_unix_ms,
-                },
-            );
-        }
+        let process = LeavingReplica {
+            id: id.clone(),
+            started_unix_ms: placement.replica.started_unix_ms,
+        };
+        record_notice(&self.shared, &process, parts.status, head.notice);
         let exchange = Exchange {
             reply: hyper::Response::from_parts(parts, body),
             connection: exchange.connection,
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -106,6 +106,9 @@
         if self.crashes_replicas(job) {
             return Err(attempts.final_error().with_retry_after(CRASHER_RETRY_AFTER));
         }
+        if let Some(wait) = self.pause_to_wait_out(job, attempts) {
+            return Err(attempts.final_error().with_retry_after(wait));
+        }
         if attempts.any() && !self.spend_retry_budget(job) {
             return Err(attempts.final_error());
         }
@@ -125,6 +128,9 @@
                 log_no_place(job, "the gateway ends too soon");
                 return Err(attempts.final_error());
             }
+            if let Some(wait) = self.pause_to_wait_out(job, attempts) {
+                return Err(attempts.final_error().with_retry_after(wait));
+            }
             let reason = match self.try_place(job, attempts, generated, queue_position.as_ref()) {
                 Ok(placement) => match self.reserve(job, placement).await {
                     Some(placement) => return Ok(placement),
@@ -165,6 +171,29 @@
         blocked
     }
 
+    /// Returns the shortest pause when all replicas of the service want one. The
+    /// client gets it as `Retry-After`, unless the request may have run: then only
+    /// this gateway can still give an answer, and waits.
+    fn pause_to_wait_out(&self, job: &Job, attempts: &Attempts) -> Option<Duration> {
+        if attempts.may_have_run > 0 {
+            return None;
+        }
+        let state = self.shared.state();
+        let replicas = state.replicas.usable();
+        let replicas = replicas.filter(|record| record.service == job.service);
+        let ids = replicas.map(|record| &record.id);
+        let wait = state.pauses.shortest(ids, Instant::now())?;
+        drop(state);
+        log::info!(
+            event = "all_pause",
+            request = job.head.id.as_str(),
+            service = job.service.as_str(),
+            pause_ms = wait.as_millis();
+            "every replica of the service wants no requests for a time"
+        );
+        Some(wait)
+    }
+
     /// Returns whether this gateway stops before an answer could be complete.
     /// An error then lets the client try another gateway, as long as nothing
     /// was sent.
@@ -473,6 +502,7 @@
     let loads = state.load_tracker.loads(now);
     let of_service = state.replicas.usable();
     let of_service = of_service.filter(|record| record.service == job.service);
+    let of_service = of_service.filter(|record| !state.pauses.is_paused(&record.id, now));
     let candidate = |record: &ReplicaRecord| Candidate {
         key: record.id.clone(),
         order: rendezvous::weight(job.service.as_str(), record.id.as_str()),
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -21,10 +21,9 @@
 use compact_str::format_compact;
 use futures::future::join_all;
 use hyper::StatusCode;
-use hyper::http::response;
 
 use crate::state::Shared;
-use crate::state::record_leaving;
+use crate::state::record_notice;
 use crate::state::record_outcome;
 use crate::wire::EngineAt;
 use crate::wire::Helper;
@@ -185,7 +184,12 @@
         let outcome = match self.client.send(call, CALL_TIMEOUT).await {
             Ok(reply) => {
                 let (parts, _body) = reply.into_parts();
-                self.record_notice(reservation, &parts);
+                let process = LeavingReplica {
+                    id: reservation.replica.clone(),
+                    started_unix_ms: reservation.started_unix_ms,
+                };
+                let notice = self.wire.reply_head(&parts).notice;
+                record_notice(&self.shared, &process, parts.status, notice);
                 match parts.status {
                     StatusCode::ACCEPTED => SendOutcome::Refused,
                     status if status.is_success() => return true,
@@ -205,21 +209,6 @@
         false
     }
 
-    /// Records whether the engine says that it leaves.
-    fn record_notice(&self, reservation: &EngineReservation, parts: &response::Parts) {
-        // With this status another replica answers, which has the address now.
-        let from_another = parts.status == StatusCode::MISDIRECTED_REQUEST;
-        if !from_another && self.wire.reply_head(parts).notice.leaving {
-            record_leaving(
-                &self.shared,
-                &LeavingReplica {
-                    id: reservation.replica.clone(),
-                    started_unix_ms: reservation.started_unix_ms,
-                },
-            );
-        }
-    }
-
     async fn release(&self, reservation: &EngineReservation) {
         for _ in 0..RELEASE_ATTEMPTS {
             let call = self.wire.release(reservation.address, &reservation.id);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 use briarhall_policy::load_tracker::LoadTracker;
 use briarhall_policy::load_tracker::Work;
 use briarhall_policy::load_tracker::WorkKey;
+use briarhall_policy::pauses::Pauses;
 use briarhall_policy::peers::Incarnation;
 use briarhall_policy::peers::Peers;
 use briarhall_policy::peers::Presence;
@@ -37,10 +38,12 @@
 use briarhall_types::ReplicaId;
 use briarhall_types::Revision;
 use briarhall_types::ServiceName;
+use hyper::StatusCode;
 
 use crate::job::Job;
 use crate::settings::Settings;
 use crate::start::session_limits;
+use crate::wire::ReplicaNotice;
 
 /// Number of gateways that are assumed to share a retry budget even when fewer
 /// are known: a gateway that is cut off must not spend the others' share.
@@ -73,6 +76,8 @@
     pub registry_known: bool,
     /// Health of replicas, by the outcomes of sends.
     pub health: Health,
+    /// Replicas that want no requests from this gateway for a time.
+    pub pauses: Pauses,
     /// Requests that may crash replicas.
     pub crashes: Crashes,
     /// Work in flight at the replicas, this gateway's and its peers'.
@@ -122,6 +127,7 @@
             replicas: Replicas::default(),
             registry_known: false,
             health: Health::default(),
+            pauses: Pauses::default(),
             crashes: Crashes::default(),
             load_tracker: LoadTracker::default(),
             prompt_queue: PromptQueue::default(),
@@ -281,6 +287,9 @@
     /// are gone or restarted.
     pub fn record_replica_events(&mut self, events: &[ReplicaEvent], source: &str) {
         for event in events {
+            if event.status == ReplicaStatus::Restarted {
+                self.pauses.forget(&event.id);
+            }
             if matches!(event.status, ReplicaStatus::Gone | ReplicaStatus::Restarted) {
                 self.health.forget(&event.id);
                 self.record_crash(&event.id, event.status.as_str());
@@ -396,8 +405,38 @@
     }
 }
 
-/// Records that a replica said in an answer that it leaves.
-pub fn record_leaving(shared: &Shared, replica: &LeavingReplica) {
+/// Records what a process of a replica said about itself in an answer with this
+/// status.
+pub fn record_notice(
+    shared: &Shared,
+    replica: &LeavingReplica,
+    status: StatusCode,
+    notice: ReplicaNotice,
+) {
+    // With this status another replica answers, which has the address now.
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    if let Some(pause) = notice.pause {
+        let left = shared
+            .state()
+            .pauses
+            .ask(&replica.id, pause, Instant::now());
+        shared.metrics.count("replica_pause");
+        log::info!(
+            event = "pause",
+            replica = replica.id.as_str(),
+            asked_ms = pause.as_millis(),
+            pause_ms = left.as_millis();
+            "replica wants no requests for a time"
+        );
+    }
+    if notice.leaving {
+        record_leaving(shared, replica);
+    }
+}
+
+fn record_leaving(shared: &Shared, replica: &LeavingReplica) {
     let mut state = shared.state();
     let heard_by = HeardBy::ThisGateway;
     let Some(event) = state.replicas.record_leaving(replica, heard_by) else {
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -105,6 +105,8 @@
 pub struct ReplicaNotice {
     /// It leaves, and wants no new request.
     pub leaving: bool,
+    /// It turned the request away, and wants no other for this long.
+    pub pause: Option<Duration>,
 }
 
 /// A replica that another one names as the reason for its answer.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod limits;
 pub mod load_tracker;
 pub mod members;
+pub mod pauses;
 pub mod peers;
 pub mod placement;
 pub mod policies;
