--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,8 +11,8 @@
 use briarhall_net::HttpClient;
 use briarhall_net::HttpError;
 use briarhall_net::timeout;
+use briarhall_policy::departures::ReplicaProcess;
 use briarhall_policy::health::SendOutcome;
-use briarhall_policy::replicas::LeavingReplica;
 use briarhall_types::ReplicaId;
 use hyper::Request;
 use hyper::StatusCode;
@@ -133,7 +133,7 @@
         };
         let (parts, body) = exchange.reply.into_parts();
         let head = self.wire.reply_head(&parts);
-        let process = LeavingReplica {
+        let process = ReplicaProcess {
             id: id.clone(),
             started_unix_ms: placement.replica.started_unix_ms,
         };
--- a/crates/gateway/src/config_watch.rs
+++ b/crates/gateway/src/config_watch.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 
 use briarhall_objects::PlatformError;
-use briarhall_types::Revision;
+use briarhall_types::StorePosition;
 
 use crate::control_plane::ConfigurationSnapshot;
 use crate::control_plane::ControlPlane;
 use crate::follow::Followed;
 use crate::follow::WATCH_TIMEOUT;
+use crate::follow::same_era;
 use crate::state::Shared;
 
 /// The configuration in the store.
@@ -26,23 +27,26 @@
 {
     const NAME: &'static str = "configuration";
 
-    async fn read(&self) -> Result<Revision, PlatformError> {
+    async fn read(&self) -> Result<StorePosition, PlatformError> {
         let snapshot = self.plane.configuration().await?;
+        self.shared
+            .record_era(Self::NAME, snapshot.position, "store");
         Ok(self.apply(snapshot))
     }
 
-    async fn watch(&self, since: Revision) -> Result<Revision, PlatformError> {
+    async fn watch(&self, since: StorePosition) -> Result<StorePosition, PlatformError> {
         let snapshot = self.plane.watch_configuration(since, WATCH_TIMEOUT).await?;
+        same_era(since, snapshot.position)?;
         Ok(self.apply(snapshot))
     }
 }
 
 impl<C> FollowedConfiguration<C> {
-    fn apply(&self, snapshot: ConfigurationSnapshot) -> Revision {
+    fn apply(&self, snapshot: ConfigurationSnapshot) -> StorePosition {
         if let Some(change) = snapshot.current {
             self.shared
-                .apply_configuration(change.configuration, change.revision, "store");
+                .apply_configuration(change.configuration, change.position, "store");
         }
-        snapshot.revision
+        snapshot.position
     }
 }
--- a/crates/gateway/src/control_plane.rs
+++ b/crates/gateway/src/control_plane.rs
@@ -7,31 +7,31 @@
 use briarhall_types::Configuration;
 use briarhall_types::ReplicaChange;
 use briarhall_types::ReplicaEntry;
-use briarhall_types::Revision;
+use briarhall_types::StorePosition;
 
-/// The configuration at one revision of the store.
+/// The configuration at one position of the store.
 #[derive(Debug, Clone)]
 pub struct ConfigurationSnapshot {
-    /// Revision of the read, from which a watch continues.
-    pub revision: Revision,
-    /// The configuration and the revision of its last change.
+    /// Position of the read, from which a watch continues.
+    pub position: StorePosition,
+    /// The configuration and the position of its last change.
     pub current: Option<ConfigurationChange>,
 }
 
-/// A configuration and the revision that it was written at.
+/// A configuration and the position that it was written at.
 #[derive(Debug, Clone)]
 pub struct ConfigurationChange {
-    /// Store revision of the write.
-    pub revision: Revision,
+    /// Position of the write.
+    pub position: StorePosition,
     /// The configuration.
     pub configuration: Configuration,
 }
 
-/// The registry at one revision of the store.
+/// The registry at one position of the store.
 #[derive(Debug, Clone)]
 pub struct ReplicaSnapshot {
-    /// Revision of the listing, from which a watch continues.
-    pub revision: Revision,
+    /// Position of the listing, from which a watch continues.
+    pub position: StorePosition,
     /// All entries.
     pub entries: Vec<ReplicaEntry>,
 }
@@ -39,8 +39,8 @@
 /// What changed in the registry.
 #[derive(Debug, Clone)]
 pub struct ReplicaChanges {
-    /// Revision up to which the changes are complete.
-    pub revision: Revision,
+    /// Position up to which the changes are complete.
+    pub position: StorePosition,
     /// The changes, oldest first.
     pub changes: Vec<ReplicaChange>,
 }
@@ -56,7 +56,7 @@
     /// `wait`.
     fn watch_configuration(
         &self,
-        since: Revision,
+        since: StorePosition,
         wait: Duration,
     ) -> impl Future<Output = Result<ConfigurationSnapshot, PlatformError>> + Send;
 
@@ -66,7 +66,7 @@
     /// Waits for changes of the registry after `since`, no longer than `wait`.
     fn watch_replicas(
         &self,
-        since: Revision,
+        since: StorePosition,
         wait: Duration,
     ) -> impl Future<Output = Result<ReplicaChanges, PlatformError>> + Send;
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,7 +7,7 @@
 use async_io::Timer;
 use briarhall_objects::PlatformError;
 use briarhall_policy::watch_pace::WatchPace;
-use briarhall_types::Revision;
+use briarhall_types::StorePosition;
 
 /// Longest wait of one watch call; TCP keepalive probes detect a broken
 /// connection well before.
@@ -23,32 +23,50 @@
     /// Its name in logs.
     const NAME: &'static str;
 
-    /// Reads it completely, and returns the revision to watch from.
-    fn read(&self) -> impl Future<Output = Result<Revision, PlatformError>> + Send;
+    /// Reads it completely, and returns the position to watch from.
+    fn read(&self) -> impl Future<Output = Result<StorePosition, PlatformError>> + Send;
 
-    /// Waits for a change after `since`, and returns the revision to continue
+    /// Waits for a change after `since`, and returns the position to continue
     /// from.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformError::Expired`] when the changes do not follow `since`.
     fn watch(
         &self,
-        since: Revision,
-    ) -> impl Future<Output = Result<Revision, PlatformError>> + Send;
+        since: StorePosition,
+    ) -> impl Future<Output = Result<StorePosition, PlatformError>> + Send;
 
     /// Called when a read or a watch has failed.
     fn on_unavailable(&self) {}
 }
 
+/// Checks that the answer of a watch follows what was read before. In another era
+/// the same revisions are other changes.
+///
+/// # Errors
+///
+/// Returns [`PlatformError::Expired`] when the store was restored in between.
+pub fn same_era(since: StorePosition, answered: StorePosition) -> Result<(), PlatformError> {
+    if since.era == answered.era {
+        Ok(())
+    } else {
+        Err(PlatformError::Expired)
+    }
+}
+
 /// Keeps an object or list in sync for the life of the process. Changes that come
 /// in series are read no more often than each `min_interval`.
 pub async fn follow<F>(followed: F, min_interval: Duration)
 where
     F: Followed,
 {
-    let mut revision = None;
+    let mut position = None;
     let mut pace = WatchPace::new(min_interval);
     let max_backoff = min_interval.max(MIN_LONGEST_BACKOFF);
     let mut backoff = INITIAL_BACKOFF;
     loop {
-        let read = match revision {
+        let read = match position {
             None => followed.read().await,
             Some(since) => followed.watch(since).await,
         };
@@ -56,10 +74,10 @@
             Ok(at) => {
                 // Only a watch resets the delay: a read that succeeds does not
                 // show that a watch can begin.
-                if revision.is_some() {
+                if position.is_some() {
                     backoff = INITIAL_BACKOFF;
                 }
-                if revision.replace(at) != Some(at) {
+                if position.replace(at) != Some(at) {
                     let pause = pace.changed(Instant::now());
                     if !pause.is_zero() {
                         Timer::after(pause).await;
@@ -77,7 +95,7 @@
             }
         }
         // A new watch would not deliver missed changes, so read again.
-        revision = None;
+        position = None;
         Timer::after(backoff).await;
         backoff = (backoff * 2).min(max_backoff);
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -13,12 +13,12 @@
 use async_io::Timer;
 use async_net::UdpSocket;
 use briarhall_policy::advertised::advertised;
+use briarhall_policy::departures::HeardBy;
 use briarhall_policy::peers::DOWN_AFTER;
 use briarhall_policy::peers::HEARTBEAT_INTERVAL;
 use briarhall_policy::peers::PeerUpdate;
 use briarhall_policy::peers::Presence;
 use briarhall_policy::peers::regular_interval;
-use briarhall_policy::replicas::HeardBy;
 use futures_lite::future;
 
 use crate::heartbeat::Heartbeat;
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 
 use briarhall_policy::crashes::Observation;
+use briarhall_policy::departures::ReplicaProcess;
 use briarhall_policy::health::FailedRequests;
 use briarhall_policy::load_tracker::Work;
 use briarhall_policy::peers::Presence;
 use briarhall_policy::prompt_queue::QueuedPrompt;
-use briarhall_policy::replicas::LeavingReplica;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
@@ -37,7 +37,7 @@
     pub failed: Vec<FailedRequests>,
     /// Replicas that said to the sender that they leave, while the registry lists
     /// them as ready.
-    pub leaving: Vec<LeavingReplica>,
+    pub leaving: Vec<ReplicaProcess>,
     /// Gossip addresses of gateways that the sender knows.
     pub known: Vec<SocketAddr>,
 }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -322,7 +322,7 @@
         let parts = parts.collect::<Vec<_>>();
         let work_guard = WorkGuard::new(&self.shared, &mut state, first, &parts);
         let known = KnownState {
-            registry_revision: state.replicas.revision(),
+            registry_revision: state.replicas.position().revision,
             gateways: state.peers.up(now).count() + 1,
         };
         drop(state);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,7 +1,7 @@
 //! Reads from another gateway what the store does not deliver to this one.
 //!
 //! The store may refuse one VM and serve the others, and a watch may have gone
-//! silent. Heartbeats carry the revisions that other gateways have; a gateway
+//! silent. Heartbeats carry the positions that other gateways have; a gateway
 //! that stays behind for longer than its own watch may take asks one that is
 //! ahead.
 
@@ -20,7 +20,8 @@
 use briarhall_net::status;
 use briarhall_types::Configuration;
 use briarhall_types::ReplicaEntry;
-use briarhall_types::Revision;
+use briarhall_types::ReplicaId;
+use briarhall_types::StorePosition;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -43,15 +44,16 @@
 /// The configuration as gateways send it to each other.
 #[derive(Debug, Serialize, Deserialize)]
 struct RelayedConfiguration {
-    revision: Revision,
+    position: StorePosition,
     configuration: Arc<Configuration>,
 }
 
 /// The list of replicas as gateways send it to each other.
 #[derive(Debug, Serialize, Deserialize)]
 struct RelayedReplicas {
-    revision: Revision,
+    position: StorePosition,
     entries: Vec<ReplicaEntry>,
+    lapsed: Vec<ReplicaId>,
 }
 
 /// Serves the configuration and the list of replicas to other gateways.
@@ -69,7 +71,7 @@
                 Some(current) => json(
                     StatusCode::OK,
                     &RelayedConfiguration {
-                        revision: current.revision,
+                        position: current.position,
                         configuration: Arc::clone(&current.configuration),
                     },
                 ),
@@ -78,8 +80,9 @@
             REPLICAS_PATH if state.registry_known => json(
                 StatusCode::OK,
                 &RelayedReplicas {
-                    revision: state.replicas.revision(),
+                    position: state.replicas.position(),
                     entries: state.replicas.entries(),
+                    lapsed: state.replicas.lapsed(),
                 },
             ),
             REPLICAS_PATH => status(StatusCode::SERVICE_UNAVAILABLE),
@@ -144,14 +147,11 @@
 
 fn peers_ahead(shared: &Shared, now: Instant) -> PeersAhead {
     let state = shared.state();
-    let own_revision = state
-        .current_configuration
-        .as_ref()
-        .map_or(0, |current| current.revision);
+    let own = state.held_configuration();
     let zone = shared.settings.zone.as_str();
     let (peers, rng) = (&state.peers, &mut rand::rng());
-    let configuration = peers.newer_configuration(own_revision, zone, now, rng);
-    let replicas = peers.newer_replicas(state.replicas.revision(), zone, now, rng);
+    let configuration = peers.newer_configuration(own, zone, now, rng);
+    let replicas = peers.newer_replicas(state.replicas.position(), zone, now, rng);
     PeersAhead {
         configuration_from: configuration.map(|p| p.relay_address),
         replicas_from: replicas.map(|p| p.relay_address),
@@ -168,7 +168,7 @@
         .fetch::<RelayedConfiguration>(call, READ_TIMEOUT)
         .await?;
     let configuration = Arc::unwrap_or_clone(relayed.configuration);
-    shared.apply_configuration(configuration, relayed.revision, "peer");
+    shared.apply_configuration(configuration, relayed.position, "peer");
     Ok(())
 }
 
@@ -179,10 +179,14 @@
 ) -> Result<(), HttpError> {
     let call = Call::get(at, REPLICAS_PATH);
     let relayed = client.fetch::<RelayedReplicas>(call, READ_TIMEOUT).await?;
+    shared.record_era("replicas", relayed.position, "peer");
     let mut state = shared.state();
-    let events = state
-        .replicas
-        .apply_relayed(relayed.entries, relayed.revision);
+    let events = state.replicas.apply_relayed(
+        relayed.entries,
+        &relayed.lapsed,
+        relayed.position,
+        Instant::now(),
+    );
     state.registry_known = true;
     state.record_replica_events(&events, "peer");
     drop(state);
--- a/crates/gateway/src/replica_watch.rs
+++ b/crates/gateway/src/replica_watch.rs
@@ -6,11 +6,12 @@
 
 use async_io::Timer;
 use briarhall_objects::PlatformError;
-use briarhall_types::Revision;
+use briarhall_types::StorePosition;
 
 use crate::control_plane::ControlPlane;
 use crate::follow::Followed;
 use crate::follow::WATCH_TIMEOUT;
+use crate::follow::same_era;
 use crate::state::Shared;
 
 /// Time between two checks for entries that were not renewed and have expired.
@@ -31,35 +32,38 @@
 {
     const NAME: &'static str = "replicas";
 
-    async fn read(&self) -> Result<Revision, PlatformError> {
+    async fn read(&self) -> Result<StorePosition, PlatformError> {
         let snapshot = self.plane.replicas().await?;
+        self.shared
+            .record_era(Self::NAME, snapshot.position, "store");
         let now = Instant::now();
         let mut state = self.shared.state();
         state.replicas.registry_available(now);
         let events = state
             .replicas
-            .apply_listing(snapshot.entries, snapshot.revision, now);
+            .apply_listing(snapshot.entries, snapshot.position, now);
         state.registry_known = true;
         state.record_replica_events(&events, "store");
         drop(state);
         self.shared.request_heartbeat();
-        Ok(snapshot.revision)
+        Ok(snapshot.position)
     }
 
-    async fn watch(&self, since: Revision) -> Result<Revision, PlatformError> {
+    async fn watch(&self, since: StorePosition) -> Result<StorePosition, PlatformError> {
         let changes = self.plane.watch_replicas(since, WATCH_TIMEOUT).await?;
+        same_era(since, changes.position)?;
         let now = Instant::now();
         let mut state = self.shared.state();
         state.replicas.registry_available(now);
         if !changes.changes.is_empty() {
             let events = state
                 .replicas
-                .apply_changes(changes.changes, changes.revision, now);
+                .apply_changes(changes.changes, changes.position, now);
             state.record_replica_events(&events, "store");
             drop(state);
             self.shared.request_heartbeat();
         }
-        Ok(changes.revision)
+        Ok(changes.position)
     }
 
     fn on_unavailable(&self) {
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -14,8 +14,8 @@
 use briarhall_net::Connection;
 use briarhall_net::Executor;
 use briarhall_net::HttpClient;
+use briarhall_policy::departures::ReplicaProcess;
 use briarhall_policy::health::SendOutcome;
-use briarhall_policy::replicas::LeavingReplica;
 use briarhall_types::ReplicaId;
 use compact_str::CompactString;
 use compact_str::format_compact;
@@ -184,7 +184,7 @@
         let outcome = match self.client.send(call, CALL_TIMEOUT).await {
             Ok(reply) => {
                 let (parts, _body) = reply.into_parts();
-                let process = LeavingReplica {
+                let process = ReplicaProcess {
                     id: reservation.replica.clone(),
                     started_unix_ms: reservation.started_unix_ms,
                 };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,20 +14,21 @@
 use briarhall_net::Metrics;
 use briarhall_net::Sessions;
 use briarhall_policy::crashes::Crashes;
+use briarhall_policy::departures::HeardBy;
+use briarhall_policy::departures::ReplicaProcess;
 use briarhall_policy::health::Health;
 use briarhall_policy::health::SendOutcome;
 use briarhall_policy::load_tracker::LoadTracker;
 use briarhall_policy::load_tracker::Work;
 use briarhall_policy::load_tracker::WorkKey;
 use briarhall_policy::pauses::Pauses;
+use briarhall_policy::peers::HeldConfiguration;
 use briarhall_policy::peers::Incarnation;
 use briarhall_policy::peers::Peers;
 use briarhall_policy::peers::Presence;
 use briarhall_policy::prompt_queue::PromptQueue;
 use briarhall_policy::prompt_queue::QueuedPrompt;
 use briarhall_policy::prompt_queue::QueuedPromptKey;
-use briarhall_policy::replicas::HeardBy;
-use briarhall_policy::replicas::LeavingReplica;
 use briarhall_policy::replicas::ReplicaEvent;
 use briarhall_policy::replicas::ReplicaStatus;
 use briarhall_policy::replicas::Replicas;
@@ -36,8 +37,9 @@
 use briarhall_policy::window_budget::WindowBudget;
 use briarhall_types::Configuration;
 use briarhall_types::ReplicaId;
-use briarhall_types::Revision;
 use briarhall_types::ServiceName;
+use briarhall_types::StoreEra;
+use briarhall_types::StorePosition;
 use hyper::StatusCode;
 
 use crate::job::Job;
@@ -57,8 +59,8 @@
 /// The configuration in use.
 #[derive(Debug, Clone)]
 pub struct CurrentConfiguration {
-    /// Store revision at which it was written.
-    pub revision: Revision,
+    /// Position in the store at which it was written.
+    pub position: StorePosition,
     /// The configuration as it was read, to relay to other gateways.
     pub configuration: Arc<Configuration>,
     /// Its routes, engines and keys, indexed for lookup.
@@ -97,6 +99,8 @@
     pub stop_deadline: Option<Instant>,
     /// Client requests that are not yet answered in full.
     pub in_flight: usize,
+    /// Eras of the store in which each list was last read.
+    eras: HashMap<&'static str, StoreEra>,
     budgets: HashMap<ServiceName, WindowBudget>,
     sequence: u64,
     round_robin: usize,
@@ -137,6 +141,7 @@
             stopping: false,
             stop_deadline: None,
             in_flight: 0,
+            eras: HashMap::new(),
             budgets: HashMap::new(),
             sequence: 0,
             round_robin: 0,
@@ -207,27 +212,42 @@
         budget.left(gateways) >= 1.0
     }
 
+    /// Logs that the store was restored from a copy since what was last read of it.
+    pub fn record_era(&self, what: &'static str, position: StorePosition, source: &str) {
+        let mut state = self.state();
+        let known = state.eras.entry(what).or_insert(position.era);
+        let before = *known;
+        *known = position.era.max(before);
+        drop(state);
+        if position.era > before {
+            self.metrics.count("store_restored");
+            log::info!(event = "store_restored", what, era = position.era, revision = position.revision, source; "the store was restored from a copy");
+        } else if position.era < before {
+            log::warn!(event = "store_era_behind", what, era = position.era, known_era = before, source; "ignoring an answer of an earlier era of the store");
+        }
+    }
+
     /// Applies a configuration, unless the current one is as new or newer.
     pub fn apply_configuration(
         &self,
         configuration: Configuration,
-        revision: Revision,
+        position: StorePosition,
         source: &str,
     ) {
         let mut state = self.state();
-        let current = state.current_configuration.as_ref();
-        if current.is_some_and(|current| current.revision >= revision) {
+        let version = configuration.version;
+        if state.held_configuration() >= (HeldConfiguration { version, position }) {
             return;
         }
-        let version = configuration.version;
+        let (era, revision) = (position.era, position.revision);
         self.metrics.count("configuration_changed");
-        log::info!(event = "configuration", version, revision, source; "configuration applied");
+        log::info!(event = "configuration", version, era, revision, source; "configuration applied");
         let table = Arc::new(RouteTable::new(configuration.clone()));
         if let Some(sessions) = self.sessions.get() {
             sessions.set_limits(session_limits(table.limits()));
         }
         state.current_configuration = Some(CurrentConfiguration {
-            revision,
+            position,
             configuration: Arc::new(configuration),
             table,
         });
@@ -267,11 +287,8 @@
             )]
             requests_per_s: requests_per_s.ceil() as u32,
             places_requests,
-            configuration: state
-                .current_configuration
-                .as_ref()
-                .map_or(0, |current| current.revision),
-            replicas: state.replicas.revision(),
+            configuration: state.held_configuration(),
+            replicas: state.replicas.position(),
         }
     }
 }
@@ -298,13 +315,25 @@
                 event = "replica",
                 replica = event.id.as_str(),
                 belief = event.status.as_str(),
-                revision = event.revision,
+                era = event.position.era,
+                revision = event.position.revision,
                 source;
                 "replica status changed"
             );
         }
     }
 
+    /// Returns the version in force and where the store has it.
+    #[must_use]
+    pub fn held_configuration(&self) -> HeldConfiguration {
+        let current = self.current_configuration.as_ref();
+        let held = current.map(|current| HeldConfiguration {
+            version: current.table.version(),
+            position: current.position,
+        });
+        held.unwrap_or_default()
+    }
+
     /// Returns how many round-robin choices were made, and counts one more.
     pub fn next_round_robin(&mut self) -> usize {
         let round_robin = self.round_robin;
@@ -409,7 +438,7 @@
 /// status.
 pub fn record_notice(
     shared: &Shared,
-    replica: &LeavingReplica,
+    replica: &ReplicaProcess,
     status: StatusCode,
     notice: ReplicaNotice,
 ) {
@@ -436,7 +465,7 @@
     }
 }
 
-fn record_leaving(shared: &Shared, replica: &LeavingReplica) {
+fn record_leaving(shared: &Shared, replica: &ReplicaProcess) {
     let mut state = shared.state();
     let heard_by = HeardBy::ThisGateway;
     let Some(event) = state.replicas.record_leaving(replica, heard_by) else {
--- a/crates/gateway/tests/heartbeat.rs
+++ b/crates/gateway/tests/heartbeat.rs
@@ -10,19 +10,21 @@
 use briarhall_policy::crashes::Crashes;
 use briarhall_policy::crashes::Observation;
 use briarhall_policy::crashes::ObservedOutcome;
+use briarhall_policy::departures::HeardBy;
+use briarhall_policy::departures::ReplicaProcess;
 use briarhall_policy::health::FailedRequests;
 use briarhall_policy::health::Health;
 use briarhall_policy::load_tracker::LoadTracker;
 use briarhall_policy::load_tracker::Phase;
 use briarhall_policy::load_tracker::Work;
+use briarhall_policy::peers::HeldConfiguration;
 use briarhall_policy::peers::PeerUpdate;
 use briarhall_policy::peers::Peers;
 use briarhall_policy::peers::Presence;
 use briarhall_policy::prompt_queue::PromptQueue;
 use briarhall_policy::prompt_queue::QueuedPrompt;
-use briarhall_policy::replicas::HeardBy;
-use briarhall_policy::replicas::LeavingReplica;
 use briarhall_policy::replicas::Replicas;
+use briarhall_types::StorePosition;
 
 fn address(n: u8) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, n], 7_340))
@@ -64,8 +66,17 @@
             millicores: 250,
             requests_per_s: 5,
             places_requests: true,
-            configuration: 12,
-            replicas: 500,
+            configuration: HeldConfiguration {
+                version: 12,
+                position: StorePosition {
+                    era: 1,
+                    revision: 80,
+                },
+            },
+            replicas: StorePosition {
+                era: 1,
+                revision: 500,
+            },
         },
         interval_ms: 300,
         in_flight: vec![work; 3],
@@ -75,7 +86,7 @@
             replica: 7,
             penalty: 2.0,
         }],
-        leaving: vec![LeavingReplica {
+        leaving: vec![ReplicaProcess {
             id: "i-1".into(),
             started_unix_ms: Some(1_700_000_000_000),
         }],
--- a/crates/objects/src/object.rs
+++ b/crates/objects/src/object.rs
@@ -2,6 +2,7 @@
 
 use briarhall_types::EndpointRecord;
 use briarhall_types::Revision;
+use briarhall_types::StoreEra;
 use compact_str::CompactString;
 use serde::Deserialize;
 use serde::Serialize;
@@ -22,6 +23,9 @@
 pub struct Listing<T> {
     /// Revision the listing was taken at.
     pub revision: Revision,
+    /// Era of the revisions; 0 where the store has none.
+    #[serde(default)]
+    pub era: StoreEra,
     /// The objects, by name.
     pub items: Vec<Object<T>>,
 }
@@ -42,6 +46,9 @@
 pub struct WatchReply<T> {
     /// Revision up to which the changes are complete.
     pub revision: Revision,
+    /// Era of the revisions; 0 where the store has none.
+    #[serde(default)]
+    pub era: StoreEra,
     /// The changes, oldest first.
     pub changes: Vec<Change<T>>,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config_store;
 pub mod crashes;
 pub mod deadline_queue;
+pub mod departures;
 pub mod engine;
 pub mod fleet;
 pub mod gang;
--- a/crates/policy/src/peers.rs
+++ b/crates/policy/src/peers.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use briarhall_types::Revision;
+use briarhall_types::ConfigurationVersion;
+use briarhall_types::StorePosition;
 use briarhall_types::ZoneName;
 use compact_str::CompactString;
 use rand::Rng;
@@ -41,6 +42,16 @@
 /// Random number that a process draws when it starts.
 pub type Incarnation = u64;
 
+/// A configuration that a gateway has in force. The operator's version goes first: a
+/// store that was restored from a copy may have an older one at a later position.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+pub struct HeldConfiguration {
+    /// The operator's version.
+    pub version: ConfigurationVersion,
+    /// Where the store has it.
+    pub position: StorePosition,
+}
+
 /// State of a gateway, as it reports it in its heartbeats.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Presence {
@@ -73,10 +84,10 @@
     /// Whether it places requests and so needs every change of the others' work
     /// at once.
     pub places_requests: bool,
-    /// Revision of its configuration.
-    pub configuration: Revision,
-    /// Revision of its list of replicas.
-    pub replicas: Revision,
+    /// Its configuration.
+    pub configuration: HeldConfiguration,
+    /// Position of its list of replicas.
+    pub replicas: StorePosition,
 }
 
 #[derive(Debug, Clone)]
@@ -221,10 +232,10 @@
     }
 
     /// Returns a gateway that is up and has a configuration newer than
-    /// `revision`, in this availability zone if there is one.
+    /// `held`, in this availability zone if there is one.
     pub fn newer_configuration<R>(
         &self,
-        revision: Revision,
+        held: HeldConfiguration,
         zone: &str,
         now: Instant,
         rng: &mut R,
@@ -232,14 +243,14 @@
     where
         R: Rng,
     {
-        self.any_ahead(|p| p.configuration > revision, zone, now, rng)
+        self.any_ahead(|p| p.configuration > held, zone, now, rng)
     }
 
     /// Returns a gateway that is up and has a list of replicas newer than
-    /// `revision`, in this availability zone if there is one.
+    /// `position`, in this availability zone if there is one.
     pub fn newer_replicas<R>(
         &self,
-        revision: Revision,
+        position: StorePosition,
         zone: &str,
         now: Instant,
         rng: &mut R,
@@ -247,7 +258,7 @@
     where
         R: Rng,
     {
-        self.any_ahead(|p| p.replicas > revision, zone, now, rng)
+        self.any_ahead(|p| p.replicas > position, zone, now, rng)
     }
 
     /// Draws one of the gateways that are ahead: if all asked the one that is
--- a/crates/policy/src/replicas.rs
+++ b/crates/policy/src/replicas.rs
@@ -7,6 +7,10 @@
 //!
 //! A replica that leaves also says so in its answers, which may be earlier than the
 //! registry. That holds for its process, whatever the registry lists afterwards.
+//!
+//! The registry may be restored from a copy some seconds old. It then lists
+//! processes as ready that have left since, and lacks those that have registered
+//! since; they write their entries again.
 
 use std::collections::BTreeMap;
 use std::collections::HashSet;
@@ -18,13 +22,13 @@
 use briarhall_types::ReplicaEntry;
 use briarhall_types::ReplicaId;
 use briarhall_types::ReplicaRecord;
-use briarhall_types::Revision;
-use serde::Deserialize;
-use serde::Serialize;
+use briarhall_types::StorePosition;
+
+use crate::departures::Departures;
+use crate::departures::HeardBy;
+use crate::departures::Listed;
+use crate::departures::ReplicaProcess;
 
-/// Time for which a replica that said it leaves is remembered after its entry was
-/// removed: a registry that returns from an outage may list it once more.
-pub const LEAVING_KEPT_FOR: Duration = Duration::from_mins(1);
 /// Most replicas that one heartbeat reports as leaving.
 const MAX_LEAVING_REPORTED: usize = 64;
 /// Time that running replicas need to renew entries that lapsed while the
@@ -42,30 +46,13 @@
     lapsed: bool,
 }
 
-/// A process of a replica that said in an answer that it leaves.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeavingReplica {
-    /// The replica.
-    pub id: ReplicaId,
-    /// Start of its process in Unix milliseconds, if its entry has one.
-    pub started_unix_ms: Option<u64>,
-}
-
-/// Who heard a replica say that it leaves.
+/// How an entry arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum HeardBy {
-    /// This gateway, which reports it to the others.
-    ThisGateway,
-    /// Another gateway.
-    Peer,
-}
-
-#[derive(Debug, Clone)]
-struct LeavingNotice {
-    started_unix_ms: Option<u64>,
-    heard_by: HeardBy,
-    /// When the registry was first found not to list it.
-    unlisted_since: Option<Instant>,
+enum Delivery {
+    /// In a list, which may come from a copy of the registry.
+    Listed,
+    /// As a change, which the replica wrote in this era.
+    Written,
 }
 
 /// Whether a missing entry may have lapsed in an outage of the registry while
@@ -83,8 +70,8 @@
     pub id: ReplicaId,
     /// Its new status.
     pub status: ReplicaStatus,
-    /// Revision of the registry that reported it.
-    pub revision: Revision,
+    /// Position of the registry that reported it.
+    pub position: StorePosition,
 }
 
 /// Status of a replica as one gateway knows it.
@@ -123,10 +110,14 @@
 #[derive(Debug, Default)]
 pub struct Replicas {
     by_id: BTreeMap<ReplicaId, ListedReplica>,
-    leaving: BTreeMap<ReplicaId, LeavingNotice>,
-    revision: Revision,
+    departures: Departures,
+    position: StorePosition,
+    /// Position of the first list of its era.
+    era_began: StorePosition,
     outage_since: Option<Instant>,
     renewal_until: Option<Instant>,
+    /// When another gateway's list was last applied.
+    relayed_at: Option<Instant>,
 }
 
 impl Replicas {
@@ -134,65 +125,92 @@
     pub fn apply_listing(
         &mut self,
         entries: Vec<ReplicaEntry>,
-        revision: Revision,
+        position: StorePosition,
         now: Instant,
     ) -> Vec<ReplicaEvent> {
         let lapses = self.lapses(now);
-        self.apply(entries, revision, lapses)
+        self.apply(entries, position, lapses, now)
     }
 
-    /// Applies the entries of another gateway, unless they are older. That
-    /// gateway has already kept entries that may only have lapsed.
+    /// Applies the entries of another gateway, unless they are older. They include
+    /// the `lapsed` ones, which that gateway keeps until they are renewed or expire.
     pub fn apply_relayed(
         &mut self,
         entries: Vec<ReplicaEntry>,
-        revision: Revision,
+        lapsed: &[ReplicaId],
+        position: StorePosition,
+        now: Instant,
     ) -> Vec<ReplicaEvent> {
-        self.apply(entries, revision, Lapses::Impossible)
+        if position < self.position {
+            return Vec::new();
+        }
+        self.relayed_at = Some(now);
+        let events = self.apply(entries, position, Lapses::Impossible, now);
+        for id in lapsed {
+            if let Some(listed) = self.by_id.get_mut(id) {
+                listed.lapsed = true;
+                self.renewal_until.get_or_insert(now + RENEWAL_TIME);
+            }
+        }
+        events
     }
 
     fn apply(
         &mut self,
         entries: Vec<ReplicaEntry>,
-        revision: Revision,
-        lapses: Lapses,
+        position: StorePosition,
+        mut lapses: Lapses,
+        now: Instant,
     ) -> Vec<ReplicaEvent> {
-        if revision < self.revision {
+        if position < self.position {
             return Vec::new();
         }
+        let restored = position.era > self.position.era;
+        if restored {
+            self.era_began = position;
+        }
+        if restored && !self.by_id.is_empty() {
+            // What was written since the copy is written again.
+            self.renewal_until = Some(now + RENEWAL_TIME);
+            lapses = Lapses::Possible;
+        }
         let listed = entries.iter().map(|e| e.id.clone());
         let listed = listed.collect::<HashSet<_>>();
         let missing = self.by_id.keys().filter(|id| !listed.contains(*id));
         let missing = missing.cloned().collect::<Vec<_>>();
         let mut events = Vec::new();
         for id in missing {
-            events.extend(self.remove(&id, revision, lapses));
+            events.extend(self.remove(&id, position, lapses, now));
         }
         for entry in entries {
-            events.extend(self.upsert(entry));
+            events.extend(self.upsert(entry, Delivery::Listed, now));
         }
-        self.revision = revision;
+        self.position = position;
         events
     }
 
-    /// Applies the changes up to `revision`.
+    /// Applies the changes up to `position`, unless they do not follow the list that
+    /// is known.
     pub fn apply_changes(
         &mut self,
         changes: Vec<ReplicaChange>,
-        revision: Revision,
+        position: StorePosition,
         now: Instant,
     ) -> Vec<ReplicaEvent> {
+        if position.era != self.position.era {
+            return Vec::new();
+        }
         let lapses = self.lapses(now);
         let mut events = Vec::new();
         for change in changes {
             if change.removed {
                 let id = change.entry.id;
-                events.extend(self.remove(&id, change.entry.revision, lapses));
+                events.extend(self.remove(&id, change.entry.position, lapses, now));
             } else {
-                events.extend(self.upsert(change.entry));
+                events.extend(self.upsert(change.entry, Delivery::Written, now));
             }
         }
-        self.revision = self.revision.max(revision);
+        self.position = self.position.max(position);
         events
     }
 
@@ -214,71 +232,49 @@
     /// process under its id or none.
     pub fn record_leaving(
         &mut self,
-        replica: &LeavingReplica,
+        process: &ReplicaProcess,
         heard_by: HeardBy,
     ) -> Option<ReplicaEvent> {
-        let record = self.get(&replica.id)?;
-        if record.started_unix_ms != replica.started_unix_ms {
+        let record = self.get(&process.id)?;
+        if record.started_unix_ms != process.started_unix_ms {
             return None;
         }
-        let new = !record.draining && !self.is_leaving(record);
-        let notice = LeavingNotice {
-            started_unix_ms: replica.started_unix_ms,
-            heard_by,
-            unlisted_since: None,
-        };
-        match self.leaving.get_mut(&replica.id) {
-            Some(known) if known.started_unix_ms == replica.started_unix_ms => {
-                if heard_by == HeardBy::ThisGateway {
-                    known.heard_by = heard_by;
-                }
-            }
-            _ => {
-                self.leaving.insert(replica.id.clone(), notice);
-            }
-        }
-        new.then(|| event(replica.id.clone(), ReplicaStatus::Draining, self.revision))
+        let new = !record.draining && !self.departures.includes(record);
+        self.departures.said(process, heard_by);
+        new.then(|| event(process.id.clone(), ReplicaStatus::Draining, self.position))
     }
 
     /// Returns what this gateway heard of replicas that leave and that the registry
     /// lists as ready.
     #[must_use]
-    pub fn own_leaving(&self) -> Vec<LeavingReplica> {
-        let own = self.usable_if_listed().filter(|record| {
-            let notice = self.leaving.get(&record.id);
-            notice.is_some_and(|notice| {
-                notice.heard_by == HeardBy::ThisGateway
-                    && notice.started_unix_ms == record.started_unix_ms
-            })
-        });
-        let own = own.map(|record| LeavingReplica {
-            id: record.id.clone(),
-            started_unix_ms: record.started_unix_ms,
-        });
+    pub fn own_leaving(&self) -> Vec<ReplicaProcess> {
+        let listed = self.usable_if_listed().map(ReplicaProcess::from);
+        let own = listed.filter(|process| self.departures.heard_here(process));
         own.take(MAX_LEAVING_REPORTED).collect()
     }
 
-    fn is_leaving(&self, record: &ReplicaRecord) -> bool {
-        let notice = self.leaving.get(&record.id);
-        notice.is_some_and(|notice| notice.started_unix_ms == record.started_unix_ms)
-    }
-
-    fn expire_leaving(&mut self, now: Instant) {
-        let listed = &self.by_id;
-        self.leaving.retain(|id, notice| {
-            if listed.contains_key(id) {
-                notice.unlisted_since = None;
-                return true;
+    fn expire_departures(&mut self, now: Instant) {
+        let by_id = &self.by_id;
+        let listed = |process: &ReplicaProcess| {
+            let listed = by_id.get(&process.id);
+            let record = listed.and_then(|listed| listed.entry.record.as_ref());
+            match record {
+                Some(record) if record.started_unix_ms != process.started_unix_ms => Listed::No,
+                Some(record) if record.draining => Listed::Draining,
+                Some(_) => Listed::Ready,
+                None => Listed::No,
             }
-            let since = *notice.unlisted_since.get_or_insert(now);
-            now.saturating_duration_since(since) < LEAVING_KEPT_FOR
-        });
+        };
+        self.departures.expire(listed, now);
     }
 
     /// Removes lapsed entries that were not renewed in time.
     pub fn expire(&mut self, now: Instant) -> Vec<ReplicaEvent> {
-        self.expire_leaving(now);
-        if self.outage_since.is_some() || self.renewal_until.is_none_or(|until| now < until) {
+        self.expire_departures(now);
+        // A gateway that reaches the registry has sent its list in the outage.
+        let is_relayed = |since: Instant| self.relayed_at.is_some_and(|at| at >= since);
+        let registry_silent = self.outage_since.is_some_and(|since| !is_relayed(since));
+        if registry_silent || self.renewal_until.is_none_or(|until| now < until) {
             return Vec::new();
         }
         self.renewal_until = None;
@@ -286,24 +282,24 @@
         let lapsed = lapsed
             .map(|listed| listed.entry.id.clone())
             .collect::<Vec<_>>();
-        let revision = self.revision;
-        let gone = lapsed.into_iter().map(|id| {
-            self.by_id.remove(&id);
-            event(id, ReplicaStatus::Gone, revision)
-        });
-        gone.collect()
+        let position = self.position;
+        let mut events = Vec::new();
+        for id in lapsed {
+            events.extend(self.remove(&id, position, Lapses::Impossible, now));
+        }
+        events
     }
 
-    /// Returns the revision of the last change or listing.
+    /// Returns the position of the last change or listing.
     #[must_use]
-    pub fn revision(&self) -> Revision {
-        self.revision
+    pub fn position(&self) -> StorePosition {
+        self.position
     }
 
     /// Returns the replicas that accept new work.
     pub fn usable(&self) -> impl Iterator<Item = &ReplicaRecord> {
         self.usable_if_listed()
-            .filter(|record| !self.is_leaving(record))
+            .filter(|record| !self.departures.includes(record))
     }
 
     /// Returns the replicas that the registry lists as accepting new work.
@@ -335,7 +331,7 @@
     #[must_use]
     pub fn takes_work(&self, id: &str) -> bool {
         self.get(id)
-            .is_some_and(|record| !record.draining && !self.is_leaving(record))
+            .is_some_and(|record| !record.draining && !self.departures.includes(record))
     }
 
     /// Returns all entries, for other gateways.
@@ -347,6 +343,13 @@
             .collect()
     }
 
+    /// Returns the entries that the registry does not list and that have not expired.
+    #[must_use]
+    pub fn lapsed(&self) -> Vec<ReplicaId> {
+        let lapsed = self.by_id.iter().filter(|(_, listed)| listed.lapsed);
+        lapsed.map(|(id, _)| id.clone()).collect()
+    }
+
     fn lapses(&self, now: Instant) -> Lapses {
         let renewing = self.renewal_until.is_some_and(|until| now < until);
         if self.outage_since.is_some() || renewing {
@@ -356,13 +359,35 @@
         }
     }
 
-    fn upsert(&mut self, entry: ReplicaEntry) -> Option<ReplicaEvent> {
+    fn upsert(
+        &mut self,
+        entry: ReplicaEntry,
+        delivery: Delivery,
+        now: Instant,
+    ) -> Option<ReplicaEvent> {
         let id = entry.id.clone();
-        let revision = entry.revision;
-        let before = self.by_id.get(&id);
-        if before.is_some_and(|listed| listed.entry.revision > revision) {
+        let position = entry.position;
+        let newer = |listed: &ListedReplica| listed.entry.position > position;
+        if self.by_id.get(&id).is_some_and(newer) {
             return None;
         }
+        let left = match &entry.record {
+            Some(record) => {
+                self.update_departures(record, position, delivery, now);
+                self.departures.includes(record)
+            }
+            None => false,
+        };
+        if let Some(old) = self.process_before(&entry) {
+            if self.is_older_process(&entry, left) && self.takes_work(&id) {
+                // A copy of before lists the process that this one has followed.
+                let listed = self.by_id.get_mut(&id)?;
+                listed.lapsed = true;
+                return Some(event(id, ReplicaStatus::Lapsed, position));
+            }
+            self.departures.registered(&old, position, now);
+        }
+        let before = self.by_id.get(&id);
         let status = match (
             before.and_then(|listed| listed.entry.record.as_ref()),
             &entry.record,
@@ -371,7 +396,7 @@
             (Some(old), Some(new)) if old.started_unix_ms != new.started_unix_ms => {
                 ReplicaStatus::Restarted
             }
-            (_, Some(new)) if new.draining => ReplicaStatus::Draining,
+            (_, Some(new)) if new.draining || left => ReplicaStatus::Draining,
             _ => ReplicaStatus::Ready,
         };
         let same =
@@ -379,30 +404,79 @@
         let lapsed = false;
         self.by_id
             .insert(id.clone(), ListedReplica { entry, lapsed });
-        (!same).then(|| event(id, status, revision))
+        (!same).then(|| event(id, status, position))
+    }
+
+    /// Applies what the registry lists of a process to what is known of departures.
+    fn update_departures(
+        &mut self,
+        record: &ReplicaRecord,
+        position: StorePosition,
+        delivery: Delivery,
+        now: Instant,
+    ) {
+        let process = ReplicaProcess::from(record);
+        if record.draining {
+            self.departures.registered(&process, position, now);
+            return;
+        }
+        let era_began = self.era_began;
+        self.departures.is_ready(&process, |left_at| {
+            // The first list of an era may come from a copy of before.
+            let written_in_era = delivery == Delivery::Written || position > era_began;
+            position > left_at && (position.era == left_at.era || written_in_era)
+        });
+    }
+
+    /// Returns the process that is known under the id of this entry, if the entry has
+    /// another one.
+    fn process_before(&self, entry: &ReplicaEntry) -> Option<ReplicaProcess> {
+        let old = ReplicaProcess::from(self.get(&entry.id)?);
+        let new = ReplicaProcess::from(entry.record.as_ref()?);
+        (old != new).then_some(old)
+    }
+
+    /// Returns whether an entry of a later era than the known one lists a process that
+    /// started before the known one, or one as ready that has `left`.
+    fn is_older_process(&self, entry: &ReplicaEntry, left: bool) -> bool {
+        let (Some(known), Some(record)) = (self.by_id.get(&entry.id), &entry.record) else {
+            return false;
+        };
+        let started = |entry: &ReplicaEntry| entry.record.as_ref()?.started_unix_ms;
+        let started_before = match (started(entry), started(&known.entry)) {
+            (Some(new), Some(old)) => new < old,
+            _ => false,
+        };
+        let had_left = left && !record.draining;
+        entry.position.era > known.entry.position.era && (had_left || started_before)
     }
 
     fn remove(
         &mut self,
         id: &ReplicaId,
-        revision: Revision,
+        position: StorePosition,
         lapses: Lapses,
+        now: Instant,
     ) -> Option<ReplicaEvent> {
         let listed = self.by_id.get_mut(id)?;
         let may_return = listed.entry.record.as_ref().is_some_and(|r| !r.draining);
         if lapses == Lapses::Possible && may_return {
             listed.lapsed = true;
-            return Some(event(id.clone(), ReplicaStatus::Lapsed, revision));
+            return Some(event(id.clone(), ReplicaStatus::Lapsed, position));
+        }
+        let removed = self.by_id.remove(id)?;
+        if let Some(record) = &removed.entry.record {
+            let process = ReplicaProcess::from(record);
+            self.departures.registered(&process, position, now);
         }
-        self.by_id.remove(id);
-        Some(event(id.clone(), ReplicaStatus::Gone, revision))
+        Some(event(id.clone(), ReplicaStatus::Gone, position))
     }
 }
 
-fn event(id: ReplicaId, status: ReplicaStatus, revision: Revision) -> ReplicaEvent {
+fn event(id: ReplicaId, status: ReplicaStatus, position: StorePosition) -> ReplicaEvent {
     ReplicaEvent {
         id,
         status,
-        revision,
+        position,
     }
 }
--- a/crates/policy/tests/advertised.rs
+++ b/crates/policy/tests/advertised.rs
@@ -7,7 +7,9 @@
 use bolero::TypeGenerator;
 use briarhall_policy::advertised::advertised;
 use briarhall_policy::advertised::answer;
+use briarhall_policy::peers::HeldConfiguration;
 use briarhall_policy::peers::Presence;
+use briarhall_types::StorePosition;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -28,8 +30,8 @@
         millicores,
         requests_per_s,
         places_requests: true,
-        configuration: 1,
-        replicas: 1,
+        configuration: HeldConfiguration::default(),
+        replicas: StorePosition::default(),
     }
 }
 
--- a/crates/policy/tests/peers.rs
+++ b/crates/policy/tests/peers.rs
@@ -9,15 +9,28 @@
 use bolero::TypeGenerator;
 use briarhall_policy::peers::DOWN_AFTER;
 use briarhall_policy::peers::HEARTBEAT_INTERVAL;
+use briarhall_policy::peers::HeldConfiguration;
 use briarhall_policy::peers::PeerUpdate;
 use briarhall_policy::peers::Peers;
 use briarhall_policy::peers::Presence;
 use briarhall_policy::peers::TAKE_OVER_AFTER;
 use briarhall_policy::peers::VmName;
 use briarhall_policy::peers::regular_interval;
+use briarhall_types::StorePosition;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+fn at(era: u64, revision: u64) -> StorePosition {
+    StorePosition { era, revision }
+}
+
+fn held(version: u64, era: u64, revision: u64) -> HeldConfiguration {
+    HeldConfiguration {
+        version,
+        position: at(era, revision),
+    }
+}
+
 fn presence(incarnation: u64, sequence: u64) -> Presence {
     let address = SocketAddr::from(([127, 0, 0, 1], 7_340));
     Presence {
@@ -33,8 +46,8 @@
         millicores: 250,
         requests_per_s: 5,
         places_requests: true,
-        configuration: sequence,
-        replicas: sequence,
+        configuration: held(sequence, 0, sequence),
+        replicas: at(0, sequence),
     }
 }
 
@@ -139,8 +152,9 @@
     let mut peers = Peers::default();
     peers.update(presence(1, 7), HEARTBEAT_INTERVAL, now);
     let mut rng = StdRng::seed_from_u64(1);
-    let mut newer = |revision, now| {
-        let newer = peers.newer_configuration(revision, "a", now, &mut rng);
+    let mut newer = |version, now| {
+        let own = held(version, 0, version);
+        let newer = peers.newer_configuration(own, "a", now, &mut rng);
         newer.is_some()
     };
     assert!(newer(6, now));
@@ -244,7 +258,7 @@
         let zone = if n % 3 == 0 { "a" } else { "b" };
         let ahead = Presence {
             zone: zone.into(),
-            replicas: 100 + u64::from(n),
+            replicas: at(0, 100 + u64::from(n)),
             ..numbered(n)
         };
         peers.update(ahead, HEARTBEAT_INTERVAL, now);
@@ -252,16 +266,56 @@
     let mut rng = StdRng::seed_from_u64(5);
     let mut asked = HashMap::<VmName, usize>::new();
     for _ in 0..300 {
-        let from = peers.newer_replicas(50, "a", now, &mut rng);
+        let from = peers.newer_replicas(at(0, 50), "a", now, &mut rng);
         let from = from.expect("all are ahead");
         assert_eq!(from.zone, "a");
         *asked.entry(from.vm.clone()).or_default() += 1;
     }
     let most = asked.values().max().copied().expect("some were asked");
     assert!(most <= 30, "one of 30 is asked {most} times of 300");
-    let elsewhere = peers.newer_replicas(50, "c", now, &mut rng);
+    let elsewhere = peers.newer_replicas(at(0, 50), "c", now, &mut rng);
     assert!(
         elsewhere.is_some(),
         "another zone if there is none in its own"
     );
 }
+
+/// Guards against a gateway that is pulled back to an older configuration, or to a
+/// list of before a restore, by others that have not heard of it.
+#[test]
+fn after_a_restore_the_version_goes_before_the_era_and_the_era_before_the_revision() {
+    let now = Instant::now();
+    let mut rng = StdRng::seed_from_u64(1);
+    // This one read version 5 from the copy; the others know version 9 of before.
+    let mut peers = Peers::default();
+    let other = Presence {
+        configuration: held(9, 0, 500),
+        replicas: at(0, 500),
+        ..numbered(1)
+    };
+    peers.update(other, HEARTBEAT_INTERVAL, now);
+    let own = held(5, 1, 40);
+    assert!(peers.newer_configuration(own, "a", now, &mut rng).is_some());
+    assert!(
+        peers
+            .newer_replicas(at(1, 40), "a", now, &mut rng)
+            .is_none()
+    );
+    // Seen from the others.
+    let mut peers = Peers::default();
+    let restored = Presence {
+        configuration: own,
+        replicas: at(1, 40),
+        ..numbered(2)
+    };
+    peers.update(restored, HEARTBEAT_INTERVAL, now);
+    let own = held(9, 0, 500);
+    assert!(peers.newer_configuration(own, "a", now, &mut rng).is_none());
+    assert!(
+        peers
+            .newer_replicas(at(0, 500), "a", now, &mut rng)
+            .is_some()
+    );
+    // The operator has written version 9 again.
+    assert!(held(9, 1, 41) > own);
+}
--- a/crates/policy/tests/replicas.rs
+++ b/crates/policy/tests/replicas.rs
@@ -7,9 +7,9 @@
 use std::time::Instant;
 
 use bolero::TypeGenerator;
-use briarhall_policy::replicas::HeardBy;
-use briarhall_policy::replicas::LEAVING_KEPT_FOR;
-use briarhall_policy::replicas::LeavingReplica;
+use briarhall_policy::departures::HeardBy;
+use briarhall_policy::departures::KEPT_FOR;
+use briarhall_policy::departures::ReplicaProcess;
 use briarhall_policy::replicas::MIN_LAPSE_OUTAGE;
 use briarhall_policy::replicas::RENEWAL_TIME;
 use briarhall_policy::replicas::ReplicaStatus;
@@ -18,6 +18,7 @@
 use briarhall_types::ReplicaEntry;
 use briarhall_types::ReplicaId;
 use briarhall_types::ReplicaRecord;
+use briarhall_types::StorePosition;
 use compact_str::format_compact;
 
 const IDS: u8 = 5;
@@ -60,6 +61,11 @@
     said_leaving: BTreeMap<(ReplicaId, u64), Instant>,
 }
 
+/// Returns a position in the first era.
+fn at(revision: u64) -> StorePosition {
+    StorePosition { era: 0, revision }
+}
+
 fn name(id: u8) -> ReplicaId {
     format_compact!("i-{}", id % IDS)
 }
@@ -109,7 +115,7 @@
                 };
                 let entry = ReplicaEntry {
                     record: readable.then_some(record),
-                    revision: self.revision,
+                    position: at(self.revision),
                     id: id.clone(),
                 };
                 self.stored.insert(id, entry.clone());
@@ -121,7 +127,7 @@
                 let id = name(id);
                 if let Some(mut entry) = self.stored.remove(&id) {
                     self.revision += 1;
-                    entry.revision = self.revision;
+                    entry.position = at(self.revision);
                     let removed = true;
                     self.undelivered.push(ReplicaChange { entry, removed });
                 }
@@ -130,7 +136,7 @@
                 self.replicas.registry_available(self.now);
                 let changes = std::mem::take(&mut self.undelivered);
                 self.replicas
-                    .apply_changes(changes, self.revision, self.now);
+                    .apply_changes(changes, at(self.revision), self.now);
             }
             Op::List => self.list(),
             Op::Outage { lapse, long } => self.outage(lapse, long),
@@ -158,7 +164,7 @@
         } else {
             HeardBy::ThisGateway
         };
-        let replica = LeavingReplica {
+        let replica = ReplicaProcess {
             id: id.clone(),
             started_unix_ms,
         };
@@ -172,7 +178,7 @@
     fn may_take_work(&self, record: &ReplicaRecord) -> bool {
         let started = record.started_unix_ms.expect("every process has a start");
         let last_listed = self.said_leaving.get(&(record.id.clone(), started));
-        last_listed.is_none_or(|at| self.now.saturating_duration_since(*at) >= LEAVING_KEPT_FOR)
+        last_listed.is_none_or(|at| self.now.saturating_duration_since(*at) >= KEPT_FOR)
     }
 
     fn list(&mut self) {
@@ -180,7 +186,7 @@
         self.replicas.registry_available(self.now);
         let entries = self.stored.values().cloned().collect();
         self.replicas
-            .apply_listing(entries, self.revision, self.now);
+            .apply_listing(entries, at(self.revision), self.now);
     }
 
     fn outage(&mut self, lapse: bool, long: bool) {
@@ -284,7 +290,7 @@
     ReplicaEntry {
         record: Some(record),
         id,
-        revision,
+        position: at(revision),
     }
 }
 
@@ -292,8 +298,8 @@
 fn a_restart_under_the_same_id_is_reported() {
     let now = Instant::now();
     let mut replicas = Replicas::default();
-    replicas.apply_listing(vec![entry("i-1", 5, false, 100)], 5, now);
-    let events = replicas.apply_listing(vec![entry("i-1", 9, false, 200)], 9, now);
+    replicas.apply_listing(vec![entry("i-1", 5, false, 100)], at(5), now);
+    let events = replicas.apply_listing(vec![entry("i-1", 9, false, 200)], at(9), now);
     assert_eq!(events[0].status, ReplicaStatus::Restarted);
     assert!(replicas.takes_work("i-1"));
 }
@@ -302,8 +308,8 @@
 fn an_older_entry_does_not_undo_a_later_one() {
     let now = Instant::now();
     let mut replicas = Replicas::default();
-    replicas.apply_listing(vec![entry("i-1", 9, true, 100)], 9, now);
-    let events = replicas.apply_relayed(vec![entry("i-1", 5, false, 100)], 5);
+    replicas.apply_listing(vec![entry("i-1", 9, true, 100)], at(9), now);
+    let events = replicas.apply_relayed(vec![entry("i-1", 5, false, 100)], &[], at(5), now);
     assert!(events.is_empty());
     assert!(!replicas.takes_work("i-1"));
 }
@@ -312,14 +318,14 @@
 fn a_replica_that_a_peer_reports_gone_is_gone_during_an_outage() {
     let now = Instant::now();
     let mut replicas = Replicas::default();
-    replicas.apply_listing(vec![entry("i-1", 5, false, 100)], 5, now);
+    replicas.apply_listing(vec![entry("i-1", 5, false, 100)], at(5), now);
     replicas.registry_unavailable(now);
-    replicas.apply_relayed(Vec::new(), 8);
+    replicas.apply_relayed(Vec::new(), &[], at(8), now);
     assert!(!replicas.takes_work("i-1"));
 }
 
-fn leaving(id: &str, started: u64) -> LeavingReplica {
-    LeavingReplica {
+fn leaving(id: &str, started: u64) -> ReplicaProcess {
+    ReplicaProcess {
         id: id.into(),
         started_unix_ms: Some(started),
     }
@@ -331,7 +337,7 @@
 fn a_replica_that_says_it_leaves_gets_no_work_while_its_entry_is_ready() {
     let now = Instant::now();
     let mut replicas = Replicas::default();
-    replicas.apply_listing(vec![entry("i-1", 5, false, 100)], 5, now);
+    replicas.apply_listing(vec![entry("i-1", 5, false, 100)], at(5), now);
     replicas.registry_unavailable(now);
     let said = replicas.record_leaving(&leaving("i-1", 100), HeardBy::ThisGateway);
     assert_eq!(
@@ -343,8 +349,8 @@
     assert_eq!(again, None, "it is logged once");
     // The registry lists it as ready, also after it was away.
     replicas.registry_available(now);
-    replicas.apply_listing(Vec::new(), 6, now);
-    replicas.apply_listing(vec![entry("i-1", 7, false, 100)], 7, now);
+    replicas.apply_listing(Vec::new(), at(6), now);
+    replicas.apply_listing(vec![entry("i-1", 7, false, 100)], at(7), now);
     assert!(!replicas.takes_work("i-1"));
 }
 
@@ -353,9 +359,9 @@
 fn a_new_start_of_a_replica_that_left_takes_work() {
     let now = Instant::now();
     let mut replicas = Replicas::default();
-    replicas.apply_listing(vec![entry("i-1", 5, false, 100)], 5, now);
+    replicas.apply_listing(vec![entry("i-1", 5, false, 100)], at(5), now);
     replicas.record_leaving(&leaving("i-1", 100), HeardBy::ThisGateway);
-    replicas.apply_listing(vec![entry("i-1", 9, false, 200)], 9, now);
+    replicas.apply_listing(vec![entry("i-1", 9, false, 200)], at(9), now);
     assert!(replicas.takes_work("i-1"));
     // A late report of the old process.
     let late = replicas.record_leaving(&leaving("i-1", 100), HeardBy::Peer);
@@ -369,12 +375,28 @@
     let now = Instant::now();
     let mut replicas = Replicas::default();
     let entries = ["i-1", "i-2"].map(|id| entry(id, 5, false, 100));
-    replicas.apply_listing(entries.to_vec(), 5, now);
+    replicas.apply_listing(entries.to_vec(), at(5), now);
     replicas.record_leaving(&leaving("i-1", 100), HeardBy::ThisGateway);
     replicas.record_leaving(&leaving("i-1", 100), HeardBy::Peer);
     replicas.record_leaving(&leaving("i-2", 100), HeardBy::Peer);
     assert!(!replicas.takes_work("i-2"));
     assert_eq!(replicas.own_leaving(), [leaving("i-1", 100)]);
-    replicas.apply_listing(vec![entry("i-1", 9, true, 100)], 9, now);
+    replicas.apply_listing(vec![entry("i-1", 9, true, 100)], at(9), now);
     assert!(replicas.own_leaving().is_empty(), "the registry says it");
 }
+
+/// Guards against a gateway that cannot reach the registry and keeps a replica for
+/// ever that the others have dropped.
+#[test]
+fn an_entry_that_lapsed_at_a_peer_expires_here_too() {
+    let now = Instant::now();
+    let mut replicas = Replicas::default();
+    let entries = vec![entry("i-1", 5, false, 100)];
+    replicas.apply_listing(entries.clone(), at(5), now);
+    replicas.registry_unavailable(now);
+    replicas.apply_relayed(entries, &["i-1".into()], at(8), now);
+    assert!(replicas.takes_work("i-1"), "it may be renewed");
+    assert!(replicas.expire(now + RENEWAL_TIME / 2).is_empty());
+    replicas.expire(now + RENEWAL_TIME);
+    assert!(!replicas.takes_work("i-1"));
+}
--- a/crates/standins/src/platform/http.rs
+++ b/crates/standins/src/platform/http.rs
@@ -322,7 +322,12 @@
                 };
                 if !changes.is_empty() || Instant::now() >= end {
                     let revision = state.store.revision();
-                    return json(StatusCode::OK, &WatchReply { revision, changes });
+                    let reply = WatchReply {
+                        revision,
+                        era: 0,
+                        changes,
+                    };
+                    return json(StatusCode::OK, &reply);
                 }
                 subscribe(&mut state)
             };
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -71,11 +71,13 @@
             let items = self.objects.get(kind);
             return Listing {
                 revision,
+                era: 0,
                 items: items.map_or_else(Vec::new, |items| items.values().cloned().collect()),
             };
         }
         Listing {
             revision,
+            era: 0,
             items: self.replay(kind, revision),
         }
     }
--- a/crates/types/src/replica.rs
+++ b/crates/types/src/replica.rs
@@ -7,8 +7,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::Revision;
 use crate::ServiceName;
+use crate::StorePosition;
 use crate::ZoneName;
 
 /// Id of a replica, which may keep it when it restarts.
@@ -42,8 +42,8 @@
 pub struct ReplicaEntry {
     /// Id under which the entry is stored.
     pub id: ReplicaId,
-    /// Revision of its last change.
-    pub revision: Revision,
+    /// Position of its last change.
+    pub position: StorePosition,
     /// The replica; absent when the entry does not describe a usable one.
     pub record: Option<ReplicaRecord>,
 }
