--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,13 +18,13 @@
 use hyper::StatusCode;
 
 use crate::job::Job;
+use crate::outcomes::record_notice;
+use crate::outcomes::record_outcome;
+use crate::outcomes::record_run;
 use crate::place::Placement;
 use crate::request_error::DEFAULT_RETRY_AFTER;
 use crate::request_error::RequestError;
 use crate::state::Shared;
-use crate::state::record_notice;
-use crate::state::record_outcome;
-use crate::state::record_run;
 use crate::wire::FailedReplica;
 use crate::wire::ForwardedRequest;
 use crate::wire::ReplyHead;
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -22,10 +22,10 @@
 use crate::attempt::elapsed_ms;
 use crate::headers::client_response;
 use crate::job::Job;
+use crate::outcomes::record_outcome;
+use crate::outcomes::record_run;
 use crate::request_error::DEFAULT_RETRY_AFTER;
 use crate::request_error::RequestError;
-use crate::state::record_outcome;
-use crate::state::record_run;
 use crate::wire::Wire;
 
 /// Longest answer that is buffered; longer ones belong on streaming routes.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod attempt;
 mod buffered;
+mod candidates;
 mod client_request;
 mod config_watch;
 mod control_plane;
@@ -18,8 +19,10 @@
 mod headers;
 pub mod heartbeat;
 mod job;
+mod outcomes;
 mod place;
 mod relay;
+mod replica_stream;
 mod replica_watch;
 mod request_error;
 mod reservation;
--- /dev/null
+++ b/crates/gateway/src/outcomes.rs
@@ -0,0 +1,94 @@
+//! Records what sends to replicas have shown, in the control state, the log and the
+//! counters.
+
+use std::time::Instant;
+
+use briarhall_policy::departures::HeardBy;
+use briarhall_policy::departures::ReplicaProcess;
+use briarhall_policy::health::SendOutcome;
+use briarhall_types::ReplicaId;
+use hyper::StatusCode;
+
+use crate::job::Job;
+use crate::state::Shared;
+use crate::wire::ReplicaNotice;
+
+/// Records what a process of a replica said about itself in an answer with this
+/// status.
+pub fn record_notice(
+    shared: &Shared,
+    replica: &ReplicaProcess,
+    status: StatusCode,
+    notice: ReplicaNotice,
+) {
+    // With this status another replica answers, which has the address now.
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    if let Some(pause) = notice.pause {
+        let left = shared
+            .state()
+            .pauses
+            .ask(&replica.id, pause, Instant::now());
+        shared.metrics.count("replica_pause");
+        log::info!(
+            event = "pause",
+            replica = replica.id.as_str(),
+            asked_ms = pause.as_millis(),
+            pause_ms = left.as_millis();
+            "replica wants no requests for a time"
+        );
+    }
+    if notice.leaving {
+        record_leaving(shared, replica);
+    }
+}
+
+fn record_leaving(shared: &Shared, replica: &ReplicaProcess) {
+    let mut state = shared.state();
+    let heard_by = HeardBy::ThisGateway;
+    let Some(event) = state.replicas.record_leaving(replica, heard_by) else {
+        return;
+    };
+    state.record_replica_events(&[event], "answer");
+    drop(state);
+    shared.metrics.count("replica_leaving");
+    shared.request_heartbeat();
+}
+
+/// Records the outcome of a send to a replica.
+pub fn record_outcome(shared: &Shared, id: &ReplicaId, outcome: SendOutcome) {
+    shared.metrics.count(outcome.metric());
+    let mut state = shared.state();
+    state.health.record(id, outcome, Instant::now());
+    if outcome == SendOutcome::Unreachable {
+        state.record_crash(id, "unreachable");
+    }
+}
+
+/// Records the outcome of a request that a replica may have begun to run, also
+/// as evidence of whether the request crashes replicas.
+pub fn record_run(
+    shared: &Shared,
+    job: &Job,
+    id: &ReplicaId,
+    sent_at: Instant,
+    outcome: SendOutcome,
+) {
+    record_outcome(shared, id, outcome);
+    let now = Instant::now();
+    match outcome {
+        SendOutcome::Broken => {
+            let fingerprint = job.fingerprint();
+            let crashes = &mut shared.state().crashes;
+            crashes.connection_broken(fingerprint, id, sent_at, now);
+        }
+        SendOutcome::Answered | SendOutcome::Failed => {
+            if !shared.state().crashes.is_empty() {
+                let fingerprint = job.fingerprint();
+                shared.state().crashes.answered(fingerprint, now);
+            }
+        }
+        SendOutcome::Refused | SendOutcome::Silent | SendOutcome::Unreachable => {}
+    }
+}
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -22,9 +22,9 @@
 use futures::future::join_all;
 use hyper::StatusCode;
 
+use crate::outcomes::record_notice;
+use crate::outcomes::record_outcome;
 use crate::state::Shared;
-use crate::state::record_notice;
-use crate::state::record_outcome;
 use crate::wire::EngineAt;
 use crate::wire::Helper;
 use crate::wire::Wire;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,7 +12,6 @@
 use async_io::Timer;
 use briarhall_net::Body;
 use briarhall_net::BodySender;
-use briarhall_net::Connection;
 use briarhall_net::Exchange;
 use briarhall_net::Framing;
 use briarhall_net::read_limited;
@@ -22,13 +21,8 @@
 use compact_str::CompactString;
 use futures_lite::future;
 use futures_lite::future::pending;
-use http_body_util::BodyExt;
-use hyper::HeaderMap;
 use hyper::Response;
-use hyper::body::Body as _;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
-use hyper::header::CONTENT_TYPE;
 use hyper::http::response;
 
 use crate::attempt::Attempts;
@@ -39,11 +33,13 @@
 use crate::headers::client_response;
 use crate::job::Job;
 use crate::job::event_timeout;
+use crate::outcomes::record_run;
 use crate::place::Placement;
+use crate::replica_stream::ReplicaStream;
+use crate::replica_stream::StreamItem;
+use crate::replica_stream::is_event_stream;
 use crate::request_error::RequestError;
 use crate::sse::Event;
-use crate::sse::EventSplitter;
-use crate::state::record_run;
 use crate::wire::Wire;
 
 /// Shortest silence that counts as a failure: the longest pass of an engine
@@ -58,46 +54,15 @@
 /// Silence between events that counts as a failure, as a share of the same
 /// time.
 const NEXT_EVENT_SILENCE_SHARE: f64 = 0.6;
-/// Media type of a stream of events.
-const EVENT_STREAM: &str = "text/event-stream";
 /// Longest answer that is not a stream, mostly the text of an error.
 const MAX_WHOLE_BYTES: usize = 1024 * 1024;
 /// Time reserved to send the client an error before its deadline.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 /// Delay after a replica refused a request.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(10);
-/// Why a stream is broken that ended with its connection and had no event.
-const ENDED_BEFORE_EVENTS: &str = "the connection ended before the first event";
-/// Why a stream is broken whose body ended within an event.
-const ENDED_WITHIN_EVENT: &str = "the answer ended within an event";
 /// Tokens in one event, to estimate what a resumed stream must prefill again.
 const TOKENS_PER_EVENT: u64 = 40;
 
-/// A replica's streamed answer.
-struct ReplicaStream<W>
-where
-    W: Wire,
-{
-    placement: Placement<W>,
-    body: Incoming,
-    framing: Framing,
-    splitter: EventSplitter,
-    /// Whether it has had an event.
-    has_begun: bool,
-    /// Why the stream broke, once it has.
-    broken: Option<CompactString>,
-    _connection: Connection,
-}
-
-enum StreamItem {
-    Event(Event),
-    /// The replica ended its answer between events. Holds the bytes after the
-    /// last event: blank lines and comments.
-    End(Bytes),
-    Broken(CompactString),
-    Silent,
-}
-
 /// Serves a streamed answer; after the first event it is forwarded by a
 /// separate task.
 ///
@@ -218,21 +183,7 @@
             Ok(Err(_)) | Err(_) => StreamStart::MayHaveRun,
         };
     }
-    let framing = if body.is_end_stream() {
-        // The answer to a `HEAD` has no body whose end could be marked.
-        Framing::Length
-    } else {
-        Framing::of(&parts.headers)
-    };
-    let mut source = ReplicaStream {
-        placement,
-        body,
-        framing,
-        splitter: EventSplitter::default(),
-        has_begun: false,
-        broken: None,
-        _connection: connection,
-    };
+    let mut source = ReplicaStream::new(placement, &parts.headers, body, connection);
     let wait = until.saturating_duration_since(Instant::now());
     let first = source.next(wait).await;
     if let StreamItem::Broken(_) | StreamItem::Silent = &first {
@@ -257,53 +208,6 @@
     }
 }
 
-impl<W> ReplicaStream<W>
-where
-    W: Wire,
-{
-    /// Returns the next item, or `Silent` after `limit`. A call that times out
-    /// loses no data: the next call continues.
-    async fn next(&mut self, limit: Duration) -> StreamItem {
-        if let Some(reason) = &self.broken {
-            return StreamItem::Broken(reason.clone());
-        }
-        let next = timeout(limit, self.read()).await;
-        let next = next.unwrap_or(StreamItem::Silent);
-        if let StreamItem::Broken(reason) = &next {
-            self.broken = Some(reason.clone());
-        }
-        next
-    }
-
-    async fn read(&mut self) -> StreamItem {
-        loop {
-            if let Some(event) = self.splitter.next_event() {
-                self.has_begun = true;
-                return StreamItem::Event(event);
-            }
-            match self.body.frame().await {
-                None if self.splitter.is_within_event() => {
-                    return StreamItem::Broken(CompactString::const_new(ENDED_WITHIN_EVENT));
-                }
-                // A replica that crashes after the head closes its connection too.
-                None if self.framing == Framing::Connection && !self.has_begun => {
-                    return StreamItem::Broken(CompactString::const_new(ENDED_BEFORE_EVENTS));
-                }
-                None => return StreamItem::End(self.splitter.take_rest()),
-                Some(Err(e)) => return StreamItem::Broken(CompactString::from(e.to_string())),
-                Some(Ok(frame)) => {
-                    let Some(data) = frame.data_ref() else {
-                        continue;
-                    };
-                    if let Err(e) = self.splitter.push(data) {
-                        return StreamItem::Broken(CompactString::from(e.to_string()));
-                    }
-                }
-            }
-        }
-    }
-}
-
 /// Forwards the events of one stream to the client, resuming it at another
 /// replica when one fails.
 struct StreamForwarder<W> {
@@ -540,17 +444,6 @@
     }
 }
 
-/// Returns whether the body is a stream of events; one that does not say what it
-/// is counts as one.
-fn is_event_stream(headers: &HeaderMap) -> bool {
-    let Some(media_type) = headers.get(CONTENT_TYPE) else {
-        return true;
-    };
-    let mut parts = media_type.as_bytes().split(|byte| *byte == b';');
-    let name = parts.next().unwrap_or_default().trim_ascii();
-    name.eq_ignore_ascii_case(EVENT_STREAM.as_bytes())
-}
-
 fn outcome_of(next: &StreamItem) -> SendOutcome {
     match next {
         StreamItem::Silent => SendOutcome::Silent,
