--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -17,7 +17,7 @@
 /// status.
 pub fn record_notice(
     shared: &Shared,
-    replica: &ReplicaProcess,
+    process: &ReplicaProcess,
     status: StatusCode,
     notice: ReplicaNotice,
 ) {
@@ -29,25 +29,25 @@
         let left = shared
             .state()
             .pauses
-            .ask(&replica.id, pause, Instant::now());
+            .ask(&process.id, pause, Instant::now());
         shared.metrics.count("replica_pause");
         log::info!(
             event = "pause",
-            replica = replica.id.as_str(),
+            replica = process.id.as_str(),
             asked_ms = pause.as_millis(),
             pause_ms = left.as_millis();
             "replica wants no requests for a time"
         );
     }
     if notice.leaving {
-        record_leaving(shared, replica);
+        record_leaving(shared, process);
     }
 }
 
-fn record_leaving(shared: &Shared, replica: &ReplicaProcess) {
+fn record_leaving(shared: &Shared, process: &ReplicaProcess) {
     let mut state = shared.state();
     let heard_by = HeardBy::ThisGateway;
-    let Some(event) = state.replicas.record_leaving(replica, heard_by) else {
+    let Some(event) = state.replicas.record_leaving(process, heard_by) else {
         return;
     };
     state.record_replica_events(&[event], "answer");
--- a/crates/policy/src/departures.rs
+++ b/crates/policy/src/departures.rs
@@ -80,7 +80,7 @@
 impl Departures {
     /// Records that a process said in an answer that it leaves. That ends with the
     /// process alone.
-    pub fn said(&mut self, process: &ReplicaProcess, heard_by: HeardBy) {
+    pub fn record_said(&mut self, process: &ReplicaProcess, heard_by: HeardBy) {
         let own = Source::Answer(HeardBy::ThisGateway);
         let known = self.by_process.get(process);
         if known.is_none_or(|departure| departure.source != own) {
@@ -93,7 +93,12 @@
     }
 
     /// Records that the registry said at `position` that a process drains or is gone.
-    pub fn registered(&mut self, process: &ReplicaProcess, position: StorePosition, now: Instant) {
+    pub fn record_registered(
+        &mut self,
+        process: &ReplicaProcess,
+        position: StorePosition,
+        now: Instant,
+    ) {
         let known = self.by_process.get(process);
         if known.is_none_or(|departure| matches!(departure.source, Source::Registry(_))) {
             let departure = Departure {
@@ -106,7 +111,7 @@
 
     /// Drops what the registry said of a process up to the positions for which
     /// `is_older` returns true: it has written since that it is ready.
-    pub fn is_ready<F>(&mut self, process: &ReplicaProcess, is_older: F)
+    pub fn clear_registered<F>(&mut self, process: &ReplicaProcess, is_older: F)
     where
         F: FnOnce(StorePosition) -> bool,
     {
@@ -124,11 +129,12 @@
         !self.by_process.is_empty() && self.by_process.contains_key(&ReplicaProcess::from(record))
     }
 
-    /// Returns whether this gateway itself heard the process say that it leaves.
-    #[must_use]
-    pub fn heard_here(&self, process: &ReplicaProcess) -> bool {
-        let departure = self.by_process.get(process);
-        departure.is_some_and(|d| d.source == Source::Answer(HeardBy::ThisGateway))
+    /// Returns the processes that this gateway itself heard say that they leave.
+    pub fn heard_here(&self) -> impl Iterator<Item = &ReplicaProcess> {
+        let own = Source::Answer(HeardBy::ThisGateway);
+        let all = self.by_process.iter();
+        let heard = all.filter(move |(_, departure)| departure.source == own);
+        heard.map(|(process, _)| process)
     }
 
     /// Forgets processes that the registry has not listed for [`KEPT_FOR`], and those
--- a/crates/policy/src/replicas.rs
+++ b/crates/policy/src/replicas.rs
@@ -240,7 +240,7 @@
             return None;
         }
         let new = !record.draining && !self.departures.includes(record);
-        self.departures.said(process, heard_by);
+        self.departures.record_said(process, heard_by);
         new.then(|| event(process.id.clone(), ReplicaStatus::Draining, self.position))
     }
 
@@ -248,9 +248,12 @@
     /// lists as ready.
     #[must_use]
     pub fn own_leaving(&self) -> Vec<ReplicaProcess> {
-        let listed = self.usable_if_listed().map(ReplicaProcess::from);
-        let own = listed.filter(|process| self.departures.heard_here(process));
-        own.take(MAX_LEAVING_REPORTED).collect()
+        let is_listed_ready = |process: &&ReplicaProcess| {
+            let record = self.get(&process.id);
+            record.is_some_and(|r| !r.draining && r.started_unix_ms == process.started_unix_ms)
+        };
+        let own = self.departures.heard_here().filter(is_listed_ready);
+        own.take(MAX_LEAVING_REPORTED).cloned().collect()
     }
 
     fn expire_departures(&mut self, now: Instant) {
@@ -298,17 +301,11 @@
 
     /// Returns the replicas that accept new work.
     pub fn usable(&self) -> impl Iterator<Item = &ReplicaRecord> {
-        self.usable_if_listed()
-            .filter(|record| !self.departures.includes(record))
-    }
-
-    /// Returns the replicas that the registry lists as accepting new work.
-    fn usable_if_listed(&self) -> impl Iterator<Item = &ReplicaRecord> {
         let records = self
             .by_id
             .values()
             .filter_map(|listed| listed.entry.record.as_ref());
-        records.filter(|record| !record.draining)
+        records.filter(|record| !record.draining && !self.departures.includes(record))
     }
 
     /// Returns one replica, even while it is draining.
@@ -385,7 +382,7 @@
                 listed.lapsed = true;
                 return Some(event(id, ReplicaStatus::Lapsed, position));
             }
-            self.departures.registered(&old, position, now);
+            self.departures.record_registered(&old, position, now);
         }
         let before = self.by_id.get(&id);
         let status = match (
@@ -417,11 +414,11 @@
     ) {
         let process = ReplicaProcess::from(record);
         if record.draining {
-            self.departures.registered(&process, position, now);
+            self.departures.record_registered(&process, position, now);
             return;
         }
         let era_began = self.era_began;
-        self.departures.is_ready(&process, |left_at| {
+        self.departures.clear_registered(&process, |left_at| {
             // The first list of an era may come from a copy of before.
             let written_in_era = delivery == Delivery::Written || position > era_began;
             position > left_at && (position.era == left_at.era || written_in_era)
@@ -467,7 +464,7 @@
         let removed = self.by_id.remove(id)?;
         if let Some(record) = &removed.entry.record {
             let process = ReplicaProcess::from(record);
-            self.departures.registered(&process, position, now);
+            self.departures.record_registered(&process, position, now);
         }
         Some(event(id.clone(), ReplicaStatus::Gone, position))
     }
