Remember a replica that leaves from the last time it said so

What callers could see: a request at a replica that leaves, as its gateway has forgotten that up to one check too early: the process said it again, its entry went, and the time ran from the check before.

Cause: only what is new was recorded; a repeated answer left the time as it was. Found by making the closing check of `only_running_replicas_are_used` exact, which had split: for an id that had ever said that it leaves, it asked only that it is not used unless listed as ready. Now the model keeps each process, its id and start, and both the check after each step and the one at the end are equalities again. The histories have steps as long as processes are remembered, and three ids for five, so that they get there.

--- a/crates/policy/src/departures.rs
+++ b/crates/policy/src/departures.rs
@@ -83,13 +83,15 @@
     pub fn record_said(&mut self, process: &ReplicaProcess, heard_by: HeardBy) {
         let own = Source::Answer(HeardBy::ThisGateway);
         let known = self.by_process.get(process);
-        if known.is_none_or(|departure| departure.source != own) {
-            let departure = Departure {
-                source: Source::Answer(heard_by),
-                since: None,
-            };
-            self.by_process.insert(process.clone(), departure);
-        }
+        let heard_here = known.is_some_and(|departure| departure.source == own);
+        let source = if heard_here {
+            own
+        } else {
+            Source::Answer(heard_by)
+        };
+        let since = None;
+        self.by_process
+            .insert(process.clone(), Departure { source, since });
     }
 
     /// Records that the registry said at `position` that a process drains or is gone.
--- a/crates/policy/tests/replicas.rs
+++ b/crates/policy/tests/replicas.rs
@@ -21,7 +21,8 @@
 use briarhall_types::StorePosition;
 use compact_str::format_compact;
 
-const IDS: u8 = 5;
+const IDS: u8 = 3;
+const STEP: Duration = Duration::from_millis(100);
 
 #[derive(Debug, Clone, Copy, TypeGenerator)]
 enum Op {
@@ -42,8 +43,10 @@
     List,
     /// The registry is unavailable; entries may lapse in a long outage.
     Outage { lapse: bool, long: bool },
-    /// Time passes, in units of 100 ms.
+    /// Time passes, in units of [`STEP`].
     Advance { steps: u8 },
+    /// As much time passes as processes are remembered, or a little less.
+    AdvanceLong { less: bool },
 }
 
 /// The state of the registry and the gateway's view of it.
@@ -57,8 +60,9 @@
     lapsed: BTreeMap<ReplicaId, Instant>,
     /// Starts of the processes.
     started: BTreeMap<ReplicaId, u64>,
-    /// Processes that said that they leave, and when the gateway last listed them.
-    said_leaving: BTreeMap<(ReplicaId, u64), Instant>,
+    /// Processes that said that they leave, and since when the gateway has not listed
+    /// them.
+    said_leaving: BTreeMap<(ReplicaId, u64), Option<Instant>>,
 }
 
 /// Returns a position in the first era.
@@ -141,18 +145,39 @@
             Op::List => self.list(),
             Op::Outage { lapse, long } => self.outage(lapse, long),
             Op::Advance { steps } => {
-                self.now += Duration::from_millis(100) * u32::from(steps % 40);
-                self.replicas.expire(self.now);
-                for ((id, _started), last_listed) in &mut self.said_leaving {
-                    if self.replicas.get(id).is_some() {
-                        *last_listed = self.now;
-                    }
-                }
+                self.advance(STEP * u32::from(steps % 40));
+            }
+            Op::AdvanceLong { less } => {
+                let less = if less { STEP } else { Duration::ZERO };
+                self.advance(
+                    KEPT_FOR
+                        .checked_sub(less)
+                        .expect("it is longer than a step"),
+                );
             }
         }
         self.check();
     }
 
+    fn advance(&mut self, time: Duration) {
+        self.now += time;
+        self.forget_processes();
+        self.replicas.expire(self.now);
+    }
+
+    /// Forgets the processes that the gateway has not listed for long enough.
+    fn forget_processes(&mut self) {
+        let (now, replicas) = (self.now, &self.replicas);
+        self.said_leaving.retain(|(id, started), unlisted_since| {
+            let record = replicas.get(id);
+            if record.is_some_and(|r| r.started_unix_ms == Some(*started)) {
+                *unlisted_since = Some(now);
+            }
+            let since = *unlisted_since.get_or_insert(now);
+            now.saturating_duration_since(since) < KEPT_FOR
+        });
+    }
+
     /// The process that the gateway knows answers that it leaves.
     fn say_leaving(&mut self, id: &ReplicaId, to_peer: bool) {
         let Some(record) = self.replicas.get(id) else {
@@ -170,15 +195,20 @@
         };
         self.replicas.record_leaving(&replica, heard_by);
         let started = started_unix_ms.expect("every process has a start");
-        self.said_leaving.insert((id.clone(), started), self.now);
+        self.said_leaving.insert((id.clone(), started), None);
     }
 
-    /// Returns whether a process may be used although it may have said that it
-    /// leaves: it did not, or that was long ago.
-    fn may_take_work(&self, record: &ReplicaRecord) -> bool {
+    /// Returns whether a process must get no work, as it said that it leaves.
+    fn leaves(&self, record: &ReplicaRecord) -> bool {
         let started = record.started_unix_ms.expect("every process has a start");
-        let last_listed = self.said_leaving.get(&(record.id.clone(), started));
-        last_listed.is_none_or(|at| self.now.saturating_duration_since(*at) >= KEPT_FOR)
+        self.said_leaving
+            .contains_key(&(record.id.clone(), started))
+    }
+
+    /// Returns the replica as the registry lists it, if it is ready there.
+    fn listed_ready(&self, id: &ReplicaId) -> Option<&ReplicaRecord> {
+        let record = self.stored.get(id)?.record.as_ref()?;
+        (!record.draining).then_some(record)
     }
 
     fn list(&mut self) {
@@ -220,7 +250,7 @@
                 replica.id
             );
             assert!(
-                self.may_take_work(replica),
+                !self.leaves(replica),
                 "{} said that it leaves and is used",
                 replica.id
             );
@@ -229,28 +259,13 @@
             return;
         }
         for id in (0..IDS).map(name) {
-            let listed = self.stored.get(&id).and_then(|entry| entry.record.as_ref());
-            let said_leaving = self.said_leaving.keys().any(|(said, _)| *said == id);
-            let usable = listed.is_some_and(|record| !record.draining) && !said_leaving;
             let used = self.replicas.takes_work(&id);
-            if said_leaving {
-                let known = self.replicas.get(&id);
-                let another = known.is_some_and(|record| {
-                    let started = record.started_unix_ms.expect("every process has a start");
-                    !self.said_leaving.contains_key(&(id.clone(), started))
-                });
-                let listed = known.is_some_and(|record| !record.draining);
-                assert!(
-                    used || !another || !listed,
-                    "{id} restarted and is not used"
-                );
+            if let Some(listed) = self.listed_ready(&id) {
+                assert_eq!(used, !self.leaves(listed), "{id} is listed as ready");
             } else if self.lapsed.contains_key(&id) {
-                assert!(
-                    used,
-                    "{id} lapsed in an outage and was dropped before its renewal time"
-                );
-            } else if usable {
-                assert!(used, "{id} is listed but not used");
+                let known = self.replicas.get(&id);
+                let known = known.expect("it is kept for its renewal time");
+                assert_eq!(used, !self.leaves(known), "{id} lapsed in an outage");
             }
         }
     }
@@ -267,18 +282,10 @@
         simulation.step(Op::List);
         simulation.step(Op::Advance { steps: 39 });
         for id in (0..IDS).map(name) {
-            let listed = simulation
-                .stored
-                .get(&id)
-                .and_then(|entry| entry.record.as_ref());
-            let usable = listed.is_some_and(|record| !record.draining);
-            let said = simulation.said_leaving.keys().any(|(said, _)| *said == id);
+            let listed = simulation.listed_ready(&id);
+            let usable = listed.is_some_and(|record| !simulation.leaves(record));
             let used = simulation.replicas.takes_work(&id);
-            if said {
-                assert!(usable || !used, "{id} at the end");
-            } else {
-                assert_eq!(used, usable, "{id} at the end");
-            }
+            assert_eq!(used, usable, "{id} at the end");
         }
     });
 }
@@ -400,3 +407,46 @@
     replicas.expire(now + RENEWAL_TIME);
     assert!(!replicas.takes_work("i-1"));
 }
+
+/// Guards against a process that said that it leaves and gets work as soon as it is
+/// listed again, or never again.
+#[test]
+fn a_process_that_leaves_is_remembered_for_a_time_after_its_entry_went() {
+    let now = Instant::now();
+    let mut replicas = Replicas::default();
+    let entries = ["i-1", "i-2"].map(|id| entry(id, 5, false, 100));
+    replicas.apply_listing(entries.to_vec(), at(5), now);
+    for id in ["i-1", "i-2"] {
+        replicas.record_leaving(&leaving(id, 100), HeardBy::ThisGateway);
+    }
+    replicas.apply_listing(Vec::new(), at(6), now);
+    replicas.expire(now);
+    let just_before = now
+        + KEPT_FOR
+            .checked_sub(STEP)
+            .expect("it is longer than a step");
+    replicas.expire(just_before);
+    replicas.apply_listing(vec![entry("i-1", 7, false, 100)], at(7), just_before);
+    assert!(!replicas.takes_work("i-1"));
+    replicas.expire(now + KEPT_FOR);
+    let both = vec![entry("i-1", 7, false, 100), entry("i-2", 8, false, 100)];
+    replicas.apply_listing(both, at(8), now + KEPT_FOR);
+    assert!(!replicas.takes_work("i-1"), "it was listed meanwhile");
+    assert!(replicas.takes_work("i-2"), "it was not");
+}
+
+/// Guards against a process that says again that it leaves, and is forgotten as if it
+/// had not (seed 23147 of the histories).
+#[test]
+fn a_process_that_says_again_that_it_leaves_is_remembered_from_then() {
+    let now = Instant::now();
+    let mut replicas = Replicas::default();
+    replicas.apply_listing(vec![entry("i-1", 5, false, 100)], at(5), now);
+    replicas.record_leaving(&leaving("i-1", 100), HeardBy::ThisGateway);
+    replicas.expire(now);
+    replicas.record_leaving(&leaving("i-1", 100), HeardBy::ThisGateway);
+    replicas.apply_listing(Vec::new(), at(6), now);
+    replicas.expire(now + KEPT_FOR);
+    replicas.apply_listing(vec![entry("i-1", 7, false, 100)], at(7), now + KEPT_FOR);
+    assert!(!replicas.takes_work("i-1"));
+}
