Spend half of the retry budget, so that its bound holds over moves and restarts

What callers could see: retries above the platform's bound, which then spread a fault instead of hiding it: when clients move from some gateways to the others, or when all gateways restart.

Cause: each gateway keeps three quarters of the ratio of its own last window. In one window of the deployment, some gateways may spend what requests of the window before have earned, and others what those of this one have: up to 1.5 times the ratio. A new process does not know what the one before it spent: up to 1.5 times the fixed part. With a half of each the sum is at most ratio x (requests of both windows) / 2 + extra, which is within the bound, also with a restart of each gateway in a window.

--- a/crates/policy/src/window_budget.rs
+++ b/crates/policy/src/window_budget.rs
@@ -2,16 +2,17 @@
 //!
 //! The bound holds for the whole deployment in every window of a fixed length:
 //! retries are at most a fraction of the requests plus a fixed number. Each
-//! gateway stays within that fraction of its own requests and its share of the
-//! fixed number, so the sum over all gateways stays within the bound.
+//! gateway stays within half of that fraction of its own requests and half of its
+//! share of the fixed number, so the sum over all gateways stays within the bound.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
-/// Fraction of the bound that is used, since the gateways' windows follow clocks
-/// that differ and gateways that are starting are not counted yet.
-const SAFETY_FACTOR: f64 = 0.75;
+/// Fraction of the bound that is used. In one window of the deployment some gateways
+/// may retry for requests of that window and others for those of the window before,
+/// and a process that restarts does not know what the one before it has sent.
+const SAFETY_FACTOR: f64 = 0.5;
 
 /// The bound for the whole deployment.
 #[derive(Debug, Clone, Copy, PartialEq)]
