Keep heartbeats within a datagram, however many prompts wait

What callers could see: a gateway at which some 1,200 long prompts wait is taken out of the directory and its work is forgotten by the others, who then overload engines that it uses.

Cause: only the list of work in flight was cut. The warning came with each heartbeat, each 8 ms.

Change: `Heartbeat::encode_within` halves the longest list until the rest fits. Queued prompts are first put in the order in which they are sent, so that the first ones stay. The log says when it begins and ends; a counter has each.

Tests: a_heartbeat_with_many_queued_prompts_fits and a_heartbeat_loses_its_lists_before_its_presence fail with the earlier code, pass now.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -30,7 +30,7 @@
 /// Time that each recipient of changes adds to the shortest time between two
 /// heartbeats: with it, at most 700 a second are sent for changes.
 const SEND_INTERVAL_PER_RECIPIENT: Duration = Duration::from_micros(1_400);
-/// Largest datagram that is sent; a list that does not fit is truncated.
+/// Largest datagram that is sent; what does not fit is left out.
 const MAX_DATAGRAM_BYTES: usize = 32 * 1024;
 /// Most addresses of other gateways in one heartbeat.
 const MAX_KNOWN_ADDRESSES: usize = 8;
@@ -65,6 +65,8 @@
     announced: Option<Announced>,
     /// When the gateways that place no requests were last sent a heartbeat.
     all_sent_at: Option<Instant>,
+    /// Whether the last heartbeat left something out.
+    is_cut: bool,
 }
 
 /// Sends heartbeats at a regular interval and after every change.
@@ -136,7 +138,7 @@
         let known = state
             .peers
             .sample_addresses(MAX_KNOWN_ADDRESSES, now, &mut rand::rng());
-        let heartbeat = Heartbeat {
+        let mut heartbeat = Heartbeat {
             presence,
             interval_ms: millis(HEARTBEAT_INTERVAL),
             in_flight: state.load_tracker.own(now),
@@ -147,15 +149,17 @@
             known,
         };
         drop(state);
+        let bytes = self.encode(shared, &mut heartbeat);
         let others = others.difference(&placing).copied();
         let others = others
             .filter(|address| *address != shared.settings.gossip_address)
             .collect::<Vec<_>>();
         let to_others = (!others.is_empty()).then(|| Datagram {
-            bytes: encode(&Heartbeat {
+            bytes: Heartbeat {
                 interval_ms: millis(interval),
-                ..heartbeat.clone()
-            }),
+                ..heartbeat
+            }
+            .encode(),
             recipients: others,
         });
         if all {
@@ -164,12 +168,28 @@
         }
         Round {
             to_placing: Datagram {
-                bytes: encode(&heartbeat),
+                bytes,
                 recipients: placing.into_iter().collect(),
             },
             to_others,
         }
     }
+
+    /// Encodes the heartbeat without what does not fit, and logs when that begins and
+    /// ends.
+    fn encode(&mut self, shared: &Shared, heartbeat: &mut Heartbeat) -> Vec<u8> {
+        let (works, waiters) = (heartbeat.in_flight.len(), heartbeat.queued_prompts.len());
+        let (bytes, left_out) = heartbeat.encode_within(MAX_DATAGRAM_BYTES);
+        let is_cut = left_out > 0;
+        if is_cut {
+            shared.metrics.count("heartbeat_cut");
+        }
+        if is_cut != self.is_cut {
+            self.is_cut = is_cut;
+            log::warn!(event = "heartbeat_cut", works, waiters, left_out; "the lists of a heartbeat have begun or ceased to be too long for a datagram");
+        }
+        bytes
+    }
 }
 
 /// Updates whether the directory names this gateway to clients.
@@ -191,19 +211,6 @@
     state.advertised = is_advertised;
 }
 
-fn encode(heartbeat: &Heartbeat) -> Vec<u8> {
-    let datagram = heartbeat.encode();
-    if datagram.len() <= MAX_DATAGRAM_BYTES {
-        return datagram;
-    }
-    let works = heartbeat.in_flight.len();
-    log::warn!(event = "heartbeat_cut", works; "work in flight does not fit in one heartbeat; sending a part of it");
-    let mut part = heartbeat.clone();
-    part.in_flight
-        .truncate(works * MAX_DATAGRAM_BYTES / datagram.len() / 2);
-    part.encode()
-}
-
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -64,6 +64,51 @@
         postcard::to_stdvec(self).expect("postcard can encode every type in a heartbeat")
     }
 
+    /// Encodes the heartbeat in at most `max_bytes`, if its lists can be cut so far,
+    /// and returns also how many entries were left out for that. Of the prompts, those
+    /// that are sent first stay.
+    ///
+    /// The longest list loses most: one with many entries tells about load, of which a
+    /// part is better than none, and without any heartbeat the sender counts as down.
+    pub fn encode_within(&mut self, max_bytes: usize) -> (Vec<u8>, usize) {
+        let before = self.entries();
+        let mut bytes = self.encode();
+        if bytes.len() > max_bytes {
+            self.queued_prompts.sort_by(QueuedPrompt::compare_turn);
+        }
+        while bytes.len() > max_bytes && self.entries() > 0 {
+            self.halve_longest_list();
+            bytes = self.encode();
+        }
+        (bytes, before - self.entries())
+    }
+
+    fn entries(&self) -> usize {
+        self.list_lens().iter().sum()
+    }
+
+    fn list_lens(&self) -> [usize; 6] {
+        [
+            self.in_flight.len(),
+            self.queued_prompts.len(),
+            self.observations.len(),
+            self.failed.len(),
+            self.leaving.len(),
+            self.known.len(),
+        ]
+    }
+
+    fn halve_longest_list(&mut self) {
+        let longest = self.list_lens().into_iter().max().unwrap_or_default();
+        let most = longest / 2;
+        self.in_flight.truncate(most);
+        self.queued_prompts.truncate(most);
+        self.observations.truncate(most);
+        self.failed.truncate(most);
+        self.leaving.truncate(most);
+        self.known.truncate(most);
+    }
+
     /// Decodes and validates a datagram.
     ///
     /// # Errors
--- a/crates/gateway/tests/heartbeat.rs
+++ b/crates/gateway/tests/heartbeat.rs
@@ -94,6 +94,67 @@
     }
 }
 
+/// Largest datagram of the test, about what one can carry.
+const MAX_BYTES: usize = 32 * 1024;
+
+/// Returns prompts that wait, the last ones being sent first.
+fn queued_prompts(count: u32) -> Vec<QueuedPrompt> {
+    let last = heartbeat().queued_prompts[0];
+    let prompts = (0..count).map(|n| QueuedPrompt {
+        id: u64::MAX - u64::from(n),
+        overdue_in_ms: 1_000.0,
+        slack_ms: 1_000.0,
+        prefill_ms: 10_000.0 - f32::from(u16::try_from(n).expect("few")),
+        ..last
+    });
+    prompts.collect()
+}
+
+/// Guards against a gateway that counts as down because so many long prompts wait at
+/// it that its heartbeats do not fit in a datagram.
+#[test]
+fn a_heartbeat_with_many_queued_prompts_fits() {
+    let mut cut = heartbeat();
+    cut.queued_prompts = queued_prompts(3_000);
+    let (all, works) = (cut.queued_prompts.clone(), cut.in_flight.clone());
+    let (bytes, left_out) = cut.encode_within(MAX_BYTES);
+    assert!(bytes.len() <= MAX_BYTES, "{} bytes", bytes.len());
+    let received = Heartbeat::decode(&bytes).expect("it is valid");
+    assert_eq!(received.presence, heartbeat().presence);
+    assert_eq!(received.in_flight, works, "shorter lists stay whole");
+    let kept = received.queued_prompts.len();
+    assert_eq!(kept + left_out, all.len());
+    assert!(kept >= all.len() / 8, "no more is left out than needed");
+    let mut first = all;
+    first.reverse();
+    assert_eq!(received.queued_prompts, first[..kept], "those sent first");
+}
+
+/// Guards against a heartbeat that is cut although it fits.
+#[test]
+fn a_heartbeat_that_fits_stays_whole() {
+    let mut whole = heartbeat();
+    assert_eq!(whole.encode_within(MAX_BYTES), (heartbeat().encode(), 0));
+}
+
+/// Guards against a heartbeat of which no part fits: what it says of the gateway
+/// itself is sent in any case.
+#[test]
+fn a_heartbeat_loses_its_lists_before_its_presence() {
+    let mut cut = heartbeat();
+    cut.encode_within(0);
+    let empty = Heartbeat {
+        in_flight: Vec::new(),
+        queued_prompts: Vec::new(),
+        observations: Vec::new(),
+        failed: Vec::new(),
+        leaving: Vec::new(),
+        known: Vec::new(),
+        ..heartbeat()
+    };
+    assert_eq!(cut, empty);
+}
+
 /// Damage to an encoded heartbeat.
 #[derive(Debug, Clone, Copy, TypeGenerator)]
 enum Damage {
--- a/crates/policy/src/prompt_queue.rs
+++ b/crates/policy/src/prompt_queue.rs
@@ -65,6 +65,20 @@
             Group::Late
         }
     }
+
+    /// Compares two prompts of one service by who is sent first.
+    #[must_use]
+    pub fn compare_turn(&self, other: &Self) -> Ordering {
+        let within_group = match self.group() {
+            Group::Overdue => self.overdue_in_ms.total_cmp(&other.overdue_in_ms),
+            Group::InTime | Group::Late => self.prefill_ms.total_cmp(&other.prefill_ms),
+        };
+        self.priority
+            .cmp(&other.priority)
+            .then(self.group().cmp(&other.group()))
+            .then(within_group)
+            .then(self.id.cmp(&other.id))
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -137,7 +151,7 @@
         let all = self.own.values().chain(self.others.values().flatten());
         let all = all.map(|entry| entry.at(now));
         let same = all.filter(|other| other.service == prompt.service);
-        same.filter(|other| compare(other, &prompt) == Ordering::Less)
+        same.filter(|other| other.compare_turn(&prompt) == Ordering::Less)
             .count()
     }
 }
@@ -153,18 +167,6 @@
     }
 }
 
-fn compare(a: &QueuedPrompt, b: &QueuedPrompt) -> Ordering {
-    let within_group = match a.group() {
-        Group::Overdue => a.overdue_in_ms.total_cmp(&b.overdue_in_ms),
-        Group::InTime | Group::Late => a.prefill_ms.total_cmp(&b.prefill_ms),
-    };
-    a.priority
-        .cmp(&b.priority)
-        .then(a.group().cmp(&b.group()))
-        .then(within_group)
-        .then(a.id.cmp(&b.id))
-}
-
 #[expect(
     clippy::cast_possible_truncation,
     reason = "the precision of f32 suffices for a time in milliseconds"
