Count a text that breaks off where a stream is due against its replica

What callers saw: with a replica that resets the connection after the text of an error, ten streams in a row began there, until the retry budget was spent; then the client got 502 (test, first form).

Cause: `start_stream` reads an answer that is no stream of events as a whole; a failed read was taken for "may have run" without a word. `buffered.rs` has the same three cases and records two of them, logs one.

Change: both call `record_unread_answer`, which records the outcome for health and for the detection of crashing requests, and logs `answer_broken`, also for an answer that does not end in time.

Test: a_text_that_breaks_off_on_a_streaming_route_counts_as_broken, fails without the call (0 lines for 3 answers), passes twice with it. Its first form also asked that at most 3 of 10 streams begin there; that passed three times, but depends on the 1.5 s in which a penalty fades, so it did not stay.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -22,8 +22,9 @@
 use crate::attempt::elapsed_ms;
 use crate::headers::client_response;
 use crate::job::Job;
-use crate::outcomes::record_outcome;
+use crate::outcomes::UnreadAnswer;
 use crate::outcomes::record_run;
+use crate::outcomes::record_unread_answer;
 use crate::request_error::DEFAULT_RETRY_AFTER;
 use crate::request_error::RequestError;
 use crate::wire::Wire;
@@ -91,24 +92,13 @@
                         }
                     }
                     Ok(Err(e)) => {
-                        record_run(
-                            &dispatcher.shared,
-                            job,
-                            id,
-                            placement.placed_at,
-                            SendOutcome::Broken,
-                        );
-                        log::info!(
-                            event = "answer_broken",
-                            request = job.head.id.as_str(),
-                            replica = id.as_str(),
-                            error = e.to_string().as_str();
-                            "cannot read the complete answer"
-                        );
+                        let why = UnreadAnswer::Broken(&e);
+                        record_unread_answer(&dispatcher.shared, job, id, placement.placed_at, why);
                         true
                     }
                     Err(_elapsed) => {
-                        record_outcome(&dispatcher.shared, id, SendOutcome::Silent);
+                        let why = UnreadAnswer::Silent;
+                        record_unread_answer(&dispatcher.shared, job, id, placement.placed_at, why);
                         true
                     }
                 }
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -3,6 +3,7 @@
 
 use std::time::Instant;
 
+use briarhall_net::ReadBodyError;
 use briarhall_policy::departures::HeardBy;
 use briarhall_policy::departures::ReplicaProcess;
 use briarhall_policy::health::SendOutcome;
@@ -13,6 +14,15 @@
 use crate::state::Shared;
 use crate::wire::ReplicaNotice;
 
+/// Why a whole answer could not be read.
+#[derive(Debug, Clone, Copy)]
+pub enum UnreadAnswer<'a> {
+    /// It broke off, or is too long.
+    Broken(&'a ReadBodyError),
+    /// It did not end in time.
+    Silent,
+}
+
 /// Records what a process of a replica said about itself in an answer with this
 /// status.
 pub fn record_notice(
@@ -92,3 +102,30 @@
         SendOutcome::Refused | SendOutcome::Silent | SendOutcome::Unreachable => {}
     }
 }
+
+/// Records that the whole answer of a replica, which is no stream, could not be read.
+pub fn record_unread_answer(
+    shared: &Shared,
+    job: &Job,
+    id: &ReplicaId,
+    sent_at: Instant,
+    why: UnreadAnswer<'_>,
+) {
+    let error = match why {
+        UnreadAnswer::Broken(e) => {
+            record_run(shared, job, id, sent_at, SendOutcome::Broken);
+            e.to_string()
+        }
+        UnreadAnswer::Silent => {
+            record_outcome(shared, id, SendOutcome::Silent);
+            "it did not end in time".to_owned()
+        }
+    };
+    log::info!(
+        event = "answer_broken",
+        request = job.head.id.as_str(),
+        replica = id.as_str(),
+        error = error.as_str();
+        "cannot read the complete answer"
+    );
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -33,7 +33,9 @@
 use crate::headers::client_response;
 use crate::job::Job;
 use crate::job::event_timeout;
+use crate::outcomes::UnreadAnswer;
 use crate::outcomes::record_run;
+use crate::outcomes::record_unread_answer;
 use crate::place::Placement;
 use crate::replica_stream::ReplicaStream;
 use crate::replica_stream::StreamItem;
@@ -180,7 +182,15 @@
                 }
                 StreamStart::Other(Box::new(parts), body)
             }
-            Ok(Err(_)) | Err(_) => StreamStart::MayHaveRun,
+            unread => {
+                let why = match &unread {
+                    Ok(Err(e)) => UnreadAnswer::Broken(e),
+                    _ => UnreadAnswer::Silent,
+                };
+                let id = &placement.replica.id;
+                record_unread_answer(&dispatcher.shared, job, id, placement.placed_at, why);
+                StreamStart::MayHaveRun
+            }
         };
     }
     let mut source = ReplicaStream::new(placement, &parts.headers, body, connection);
