Ask other gateways less often while they bring nothing

What callers could see: none was traced to it. A gateway that is behind asked another one each 100 ms, for as long as it lasted: with 350 gateways of which the store serves a few, the others ask those thousands of times a second.

Cause: `LagTimer` knew since when this gateway is behind, not when it last asked, nor whether that brought anything.

Change: the decision is `policy::peer_reads`, without network. A read that brings something new is followed by the next after 100 ms, as before, so that a series of changes does not come late; others at intervals that double up to 800 ms. The next one that is asked, after the first is gone, is still asked within the two seconds.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,6 +18,7 @@
 use briarhall_net::HttpError;
 use briarhall_net::json;
 use briarhall_net::status;
+use briarhall_policy::peer_reads::PeerReads;
 use briarhall_types::Configuration;
 use briarhall_types::ReplicaEntry;
 use briarhall_types::ReplicaId;
@@ -91,30 +92,12 @@
     }
 }
 
-/// Measures for how long another gateway has been ahead.
-#[derive(Debug, Default)]
-struct LagTimer {
-    since: Option<Instant>,
-}
-
-impl LagTimer {
-    /// Returns whether another gateway has been ahead for at least `grace`.
-    fn exceeds(&mut self, grace: Duration, ahead: bool, now: Instant) -> bool {
-        if !ahead {
-            self.since = None;
-            return false;
-        }
-        let since = *self.since.get_or_insert(now);
-        now.saturating_duration_since(since) >= grace
-    }
-}
-
 /// Reads newer objects from other gateways when this gateway's own watch does
 /// not deliver them.
 pub async fn catch_up(shared: Arc<Shared>, client: HttpClient) {
-    let mut configuration = LagTimer::default();
-    let mut replicas = LagTimer::default();
     let grace = shared.settings.min_watch_interval + OWN_WATCH_GRACE;
+    let mut configuration = PeerReads::new(grace);
+    let mut replicas = PeerReads::new(grace);
     loop {
         Timer::after(CHECK_INTERVAL).await;
         let now = Instant::now();
@@ -122,19 +105,23 @@
             configuration_from,
             replicas_from,
         } = peers_ahead(&shared, now);
-        if configuration.exceeds(grace, configuration_from.is_some(), now)
+        if configuration.due(configuration_from.is_some(), now)
             && let Some(at) = configuration_from
         {
-            log_read(
-                "configuration",
-                at,
-                &read_configuration(&shared, &client, at).await,
-            );
+            let before = shared.state().held_configuration();
+            let read = read_configuration(&shared, &client, at).await;
+            log_read("configuration", at, &read);
+            let is_new = shared.state().held_configuration() > before;
+            configuration.record(is_new, Instant::now());
         }
-        if replicas.exceeds(grace, replicas_from.is_some(), now)
+        if replicas.due(replicas_from.is_some(), now)
             && let Some(at) = replicas_from
         {
-            log_read("replicas", at, &read_replicas(&shared, &client, at).await);
+            let before = shared.state().replicas.position();
+            let read = read_replicas(&shared, &client, at).await;
+            log_read("replicas", at, &read);
+            let is_new = shared.state().replicas.position() > before;
+            replicas.record(is_new, Instant::now());
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod load_tracker;
 pub mod members;
 pub mod pauses;
+pub mod peer_reads;
 pub mod peers;
 pub mod placement;
 pub mod policies;
--- /dev/null
+++ b/crates/policy/src/peer_reads.rs
@@ -0,0 +1,59 @@
+//! When to read from another gateway what this one's own watch does not deliver.
+//!
+//! A gateway reads from one that is ahead once its own watch has had time to deliver
+//! the same. A read that brings nothing new, as the other one cannot be reached or has
+//! it no longer, is repeated at growing intervals: when the store turns many gateways
+//! away, all of them ask the few that it serves.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Shortest time between two reads.
+pub const MIN_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time between two reads that bring nothing new: below the time in which a
+/// change must be in force, so that the next gateway that is asked can still deliver it.
+pub const MAX_INTERVAL: Duration = Duration::from_millis(800);
+
+/// Spaces the reads of one object or list.
+#[derive(Debug, Clone, Copy)]
+pub struct PeerReads {
+    grace: Duration,
+    behind_since: Option<Instant>,
+    interval: Duration,
+    next: Option<Instant>,
+}
+
+impl PeerReads {
+    /// Creates the pace of an object that this gateway's own watch has `grace` to
+    /// deliver.
+    #[must_use]
+    pub fn new(grace: Duration) -> Self {
+        Self {
+            grace,
+            behind_since: None,
+            interval: MIN_INTERVAL,
+            next: None,
+        }
+    }
+
+    /// Returns whether to read now, if this gateway is behind another one.
+    pub fn due(&mut self, is_behind: bool, now: Instant) -> bool {
+        if !is_behind {
+            *self = Self::new(self.grace);
+            return false;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        let grace_over = now.saturating_duration_since(since) >= self.grace;
+        grace_over && self.next.is_none_or(|next| now >= next)
+    }
+
+    /// Records the end of a read, and whether it brought something new.
+    pub fn record(&mut self, is_new: bool, now: Instant) {
+        self.next = Some(now + self.interval);
+        self.interval = if is_new {
+            MIN_INTERVAL
+        } else {
+            (self.interval * 2).min(MAX_INTERVAL)
+        };
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/peer_reads.rs
@@ -0,0 +1,83 @@
+//! Reads from other gateways while this one is behind: soon enough for a change to be
+//! in force in time, and rare when they bring nothing.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use briarhall_policy::peer_reads::MAX_INTERVAL;
+use briarhall_policy::peer_reads::PeerReads;
+
+const GRACE: Duration = Duration::from_millis(700);
+/// Time between two looks at what the others have.
+const STEP: Duration = Duration::from_millis(100);
+/// Time in which a change must be in force.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+/// Returns when a gateway reads that is behind for `time`, of which `is_new` says
+/// whether they bring something.
+fn reads(time: Duration, is_new: bool) -> Vec<Duration> {
+    let began = Instant::now();
+    let mut pace = PeerReads::new(GRACE);
+    let mut at = Duration::ZERO;
+    let mut reads = Vec::new();
+    while at <= time {
+        if pace.due(true, began + at) {
+            pace.record(is_new, began + at);
+            reads.push(at);
+        }
+        at += STEP;
+    }
+    reads
+}
+
+/// Guards against reads of what one's own watch delivers a moment later.
+#[test]
+fn the_own_watch_has_time_to_deliver() {
+    assert_eq!(reads(IN_FORCE, false).first(), Some(&GRACE));
+    let now = Instant::now();
+    let mut pace = PeerReads::new(GRACE);
+    assert!(!pace.due(true, now));
+    assert!(!pace.due(false, now + STEP), "it was delivered");
+    assert!(!pace.due(true, now + GRACE), "this is another change");
+    assert!(pace.due(true, now + GRACE * 2));
+}
+
+/// Guards against gateways that the store turns away and that ask those it serves ten
+/// times a second, each of them and for as long as it lasts.
+#[test]
+fn reads_that_bring_nothing_become_rare() {
+    let reads = reads(GRACE + Duration::from_secs(8), false);
+    assert!(reads.len() <= 14, "{} reads in 8 s: {reads:?}", reads.len());
+    let gaps = reads.windows(2).map(|pair| pair[1].saturating_sub(pair[0]));
+    assert!(gaps.into_iter().all(|gap| gap <= MAX_INTERVAL + STEP));
+}
+
+/// Guards against a change that comes too late as the first gateway that was asked is
+/// gone.
+#[test]
+fn another_gateway_is_asked_in_time() {
+    let in_time = reads(IN_FORCE, false);
+    assert!(in_time.len() >= 3, "{in_time:?}");
+}
+
+/// Guards against a gateway that falls behind in a series of changes.
+#[test]
+fn reads_that_help_stay_frequent() {
+    let reads = reads(GRACE + Duration::from_secs(2), true);
+    assert_eq!(reads.len(), 21, "one each 100 ms: {reads:?}");
+}
+
+/// Guards against reads that stay rare after the gateway has caught up.
+#[test]
+fn a_gateway_that_has_caught_up_begins_anew() {
+    let now = Instant::now();
+    let mut pace = PeerReads::new(GRACE);
+    pace.due(true, now);
+    let later = now + GRACE;
+    for _ in 0..5 {
+        pace.record(false, later);
+    }
+    pace.due(false, later);
+    pace.due(true, later);
+    assert!(pace.due(true, later + GRACE));
+}
