Shorten the interval with the first read from a peer that helps

What callers could see: a change up to 0.7 s later than it could be, in a gateway whose reads from others brought nothing for a time and then do.

Cause: the interval was reset after the time of the next read had been set with it. Test: the_first_read_that_helps_ends_the_long_intervals fails before, passes after.

--- a/crates/policy/src/peer_reads.rs
+++ b/crates/policy/src/peer_reads.rs
@@ -49,11 +49,10 @@
 
     /// Records the end of a read, and whether it brought something new.
     pub fn record(&mut self, is_new: bool, now: Instant) {
+        if is_new {
+            self.interval = MIN_INTERVAL;
+        }
         self.next = Some(now + self.interval);
-        self.interval = if is_new {
-            MIN_INTERVAL
-        } else {
-            (self.interval * 2).min(MAX_INTERVAL)
-        };
+        self.interval = (self.interval * 2).min(MAX_INTERVAL);
     }
 }
--- a/crates/policy/tests/peer_reads.rs
+++ b/crates/policy/tests/peer_reads.rs
@@ -67,6 +67,20 @@
     assert_eq!(reads.len(), 21, "one each 100 ms: {reads:?}");
 }
 
+/// Guards against a read that helps and is followed by a pause as long as those before.
+#[test]
+fn the_first_read_that_helps_ends_the_long_intervals() {
+    let now = Instant::now();
+    let mut pace = PeerReads::new(GRACE);
+    pace.due(true, now);
+    let later = now + GRACE;
+    for _ in 0..5 {
+        pace.record(false, later);
+    }
+    pace.record(true, later);
+    assert!(pace.due(true, later + STEP));
+}
+
 /// Guards against reads that stay rare after the gateway has caught up.
 #[test]
 fn a_gateway_that_has_caught_up_begins_anew() {
