Check the retry budget also where windows end between two retries

The check looked at windows that end with a retry. Between two of them the requests that count can only become fewer, when some leave a window, so a window that ends there may break the bound as well. Now those ends are checked too, and times are counted once.

No change of the code.

--- a/crates/policy/tests/window_budget.rs
+++ b/crates/policy/tests/window_budget.rs
@@ -14,7 +14,8 @@
     ratio: 0.2,
     extra: 102.0,
 };
-const JUST_BEFORE: Duration = Duration::from_millis(100);
+/// Just less than a window.
+const ALMOST_A_WINDOW: Duration = Duration::from_millis(9_900);
 
 #[derive(Debug, Clone, Copy, TypeGenerator)]
 enum Op {
@@ -30,7 +31,7 @@
     Restart { at: u8 },
     /// Time passes, in units of 100 ms.
     Advance { steps: u8 },
-    /// Just less than a window passes.
+    /// [`ALMOST_A_WINDOW`] passes.
     AdvanceWindow,
 }
 
@@ -59,10 +60,12 @@
 impl Site {
     fn new() -> Self {
         let now = Instant::now() + Duration::from_hours(1);
-        let before = now.checked_sub(BOUND.window).expect("an hour has passed");
+        let a_window_ago = before(now, BOUND.window);
         Self {
             now,
-            gateways: (0..GATEWAYS).map(|_| Gateway::start(before)).collect(),
+            gateways: (0..GATEWAYS)
+                .map(|_| Gateway::start(a_window_ago))
+                .collect(),
             requests: Vec::new(),
             retries: Vec::new(),
         }
@@ -80,7 +83,7 @@
             }
             Op::Restart { at } => self.restart(usize::from(at)),
             Op::Advance { steps } => self.now += Duration::from_millis(100) * u32::from(steps),
-            Op::AdvanceWindow => self.now += less(BOUND.window, JUST_BEFORE),
+            Op::AdvanceWindow => self.now += ALMOST_A_WINDOW,
         }
     }
 
@@ -110,13 +113,23 @@
         }
     }
 
-    /// Checks every window that ends with a retry: earlier ends have fewer.
+    /// Checks the windows that end with a retry, or when requests cease to count:
+    /// between these, no window has more retries or fewer requests.
     fn check(&self) {
-        for end in &self.retries {
+        let mut arrivals = self.requests.clone();
+        arrivals.dedup();
+        let windows = [BOUND.window, BOUND.window * 3 / 2, BOUND.window * 2];
+        let ceased = arrivals
+            .iter()
+            .flat_map(|at| windows.map(|time| *at + time));
+        let mut ends = self.retries.clone();
+        ends.dedup();
+        ends.extend(ceased);
+        for end in &ends {
             // Requests count in the window, in the one before it and in the one half
             // a window before it, whichever has most.
             let earlier = [Duration::ZERO, BOUND.window / 2, BOUND.window];
-            let earned = earlier.map(|earlier| within(&self.requests, less_at(*end, earlier)));
+            let earned = earlier.map(|earlier| within(&self.requests, before(*end, earlier)));
             let earned = f64::from(earned.into_iter().max().expect("three windows"));
             let earned = earned * BOUND.ratio;
             let spent = f64::from(within(&self.retries, *end));
@@ -128,18 +141,14 @@
     }
 }
 
-fn less(time: Duration, by: Duration) -> Duration {
-    time.checked_sub(by).expect("the longer one comes first")
-}
-
-fn less_at(at: Instant, by: Duration) -> Instant {
+fn before(at: Instant, by: Duration) -> Instant {
     at.checked_sub(by).expect("histories begin after an hour")
 }
 
 /// Counts the times, of which none is before an earlier one, in the window that ends
 /// at `end`.
 fn within(times: &[Instant], end: Instant) -> u32 {
-    let start = less_at(end, BOUND.window);
+    let start = before(end, BOUND.window);
     let until = |at: Instant| times.partition_point(|time| *time <= at);
     u32::try_from(until(end) - until(start)).expect("few")
 }
