Log which call to the store failed and how long after it was made

The log of a gateway that lags behind the store could not tell a watch that waits in vain from a pause between reads or a delay after failures: store_failed named neither the call nor its duration. No logic changed.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -66,10 +66,13 @@
     let max_backoff = min_interval.max(MIN_LONGEST_BACKOFF);
     let mut backoff = INITIAL_BACKOFF;
     loop {
+        let called_at = Instant::now();
         let read = match position {
             None => followed.read().await,
             Some(since) => followed.watch(since).await,
         };
+        let call = if position.is_some() { "watch" } else { "read" };
+        let after_ms = u64::try_from(called_at.elapsed().as_millis()).unwrap_or(u64::MAX);
         match read {
             Ok(at) => {
                 // Only a watch resets the delay: a read that succeeds does not
@@ -86,11 +89,11 @@
                 continue;
             }
             Err(PlatformError::Expired) => {
-                log::info!(event = "watch_expired", what = F::NAME; "watch expired; reading again");
+                log::info!(event = "watch_expired", what = F::NAME, after_ms; "watch expired; reading again");
             }
             Err(e) => {
                 let error = e.to_string();
-                log::info!(event = "store_failed", what = F::NAME, error = error.as_str(); "store call failed; retrying");
+                log::info!(event = "store_failed", what = F::NAME, call, after_ms, error = error.as_str(); "store call failed; retrying");
                 followed.on_unavailable();
             }
         }
