Call the store anew when it returns from an outage

What callers saw: acknowledged configurations were not in force for up to 26 s after an outage of the store, at all gateways alike (CONFIG, DENIED).

Cause: a watch that is called while the store accepts connections and answers nothing is never answered, and was waited for until its own limit, 25 s and 1 s. Keepalive probes are answered by the store's machine. All gateways get the same change at the same moment, pause alike and watch again alike, so in a series of changes that runs into an outage all of them wait, and none has news for the others. Class of fault: a long wait taken for a sign of life.

Change: each gateway checks the store with a cheap call that waits for nothing. The first answer after a failure ends the calls made before it, and the lists are read again: within three quarters of the time in which changes must be in force, by construction. A failed check also marks the registry as unavailable, so that entries that lapse in a silent outage get the time to be renewed that others have. Short waits of every watch were weighed: ten times the price of stale checks.

--- a/crates/gateway/src/control_plane.rs
+++ b/crates/gateway/src/control_plane.rs
@@ -69,4 +69,8 @@
         since: StorePosition,
         wait: Duration,
     ) -> impl Future<Output = Result<ReplicaChanges, PlatformError>> + Send;
+
+    /// Checks that the store answers within `limit`, by a call that does not wait for
+    /// a change.
+    fn check(&self, limit: Duration) -> impl Future<Output = Result<(), PlatformError>> + Send;
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -8,6 +8,9 @@
 use briarhall_objects::PlatformError;
 use briarhall_policy::watch_pace::WatchPace;
 use briarhall_types::StorePosition;
+use futures_lite::future;
+
+use crate::store_check::StoreReturns;
 
 /// Longest wait of one watch call; TCP keepalive probes detect a broken
 /// connection well before.
@@ -56,8 +59,9 @@
 }
 
 /// Keeps an object or list in sync for the life of the process. Changes that come
-/// in series are read no more often than each `min_interval`.
-pub async fn follow<F>(followed: F, min_interval: Duration)
+/// in series are read no more often than each `min_interval`. What was called before
+/// the store returns from an outage may never be answered, so it is called anew.
+pub async fn follow<F>(followed: F, min_interval: Duration, store_returns: StoreReturns)
 where
     F: Followed,
 {
@@ -67,14 +71,21 @@
     let mut backoff = INITIAL_BACKOFF;
     loop {
         let called_at = Instant::now();
-        let read = match position {
-            None => followed.read().await,
-            Some(since) => followed.watch(since).await,
+        let call = async {
+            Some(match position {
+                None => followed.read().await,
+                Some(since) => followed.watch(since).await,
+            })
+        };
+        let abandoned = async {
+            returned(&store_returns).await;
+            None
         };
+        let read = future::or(call, abandoned).await;
         let call = if position.is_some() { "watch" } else { "read" };
         let after_ms = u64::try_from(called_at.elapsed().as_millis()).unwrap_or(u64::MAX);
         match read {
-            Ok(at) => {
+            Some(Ok(at)) => {
                 // Only a watch resets the delay: a read that succeeds does not
                 // show that a watch can begin.
                 if position.is_some() {
@@ -88,18 +99,39 @@
                 }
                 continue;
             }
-            Err(PlatformError::Expired) => {
+            Some(Err(PlatformError::Expired)) => {
                 log::info!(event = "watch_expired", what = F::NAME, after_ms; "watch expired; reading again");
             }
-            Err(e) => {
+            Some(Err(e)) => {
                 let error = e.to_string();
                 log::info!(event = "store_failed", what = F::NAME, call, after_ms, error = error.as_str(); "store call failed; retrying");
                 followed.on_unavailable();
             }
+            None => {
+                log::info!(event = "call_abandoned", what = F::NAME, call, after_ms; "the store has returned from an outage; reading again");
+                position = None;
+                backoff = INITIAL_BACKOFF;
+                continue;
+            }
         }
         // A new watch would not deliver missed changes, so read again.
         position = None;
-        Timer::after(backoff).await;
-        backoff = (backoff * 2).min(max_backoff);
+        let delay = async {
+            Timer::after(backoff).await;
+            (backoff * 2).min(max_backoff)
+        };
+        let at_once = async {
+            returned(&store_returns).await;
+            INITIAL_BACKOFF
+        };
+        backoff = future::or(delay, at_once).await;
+    }
+}
+
+/// Waits until the store has returned from an outage.
+async fn returned(store_returns: &StoreReturns) {
+    if store_returns.recv().await.is_err() {
+        // Nothing checks the store any more.
+        future::pending::<()>().await;
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod start;
 mod state;
 mod stop;
+mod store_check;
 mod stream;
 mod wire;
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -36,6 +36,8 @@
     pub address_ttl: Duration,
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
+    /// Time in which changes in the store must be in force.
+    pub in_force_within: Duration,
     /// Shortest time between two reads of a series of changes in the store.
     pub min_watch_interval: Duration,
     /// Limit on retries.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -37,6 +37,7 @@
 use crate::settings::Settings;
 use crate::state::Shared;
 use crate::stop::stop;
+use crate::store_check::StoreCheck;
 use crate::wire::Wire;
 
 /// Runs a gateway until it receives a stop signal.
@@ -84,16 +85,19 @@
         heartbeat_requests,
     ));
     executor.detach(gossip::remove_down_peers(Arc::clone(&shared)));
+    let mut store_check = StoreCheck::new(Arc::clone(&shared), plane.clone());
     let configuration = FollowedConfiguration {
         shared: Arc::clone(&shared),
         plane: plane.clone(),
     };
-    executor.detach(follow(configuration, settings.min_watch_interval));
+    let interval = settings.min_watch_interval;
+    executor.detach(follow(configuration, interval, store_check.returns()));
     let replicas = FollowedReplicas {
         shared: Arc::clone(&shared),
         plane,
     };
-    executor.detach(follow(replicas, settings.min_watch_interval));
+    executor.detach(follow(replicas, interval, store_check.returns()));
+    executor.detach(store_check.run());
     executor.detach(replica_watch::expire(Arc::clone(&shared)));
     executor.detach(relay::catch_up(Arc::clone(&shared), client.clone()));
     let relay = RelayService {
--- /dev/null
+++ b/crates/gateway/src/store_check.rs
@@ -0,0 +1,80 @@
+//! Checks whether the store answers, and has what follows it call it anew after an
+//! outage.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_io::Timer;
+use briarhall_policy::store_checks::StoreChange;
+use briarhall_policy::store_checks::StoreChecks;
+
+use crate::control_plane::ControlPlane;
+use crate::state::Shared;
+
+/// Receives a message each time that the store answers again.
+pub type StoreReturns = Receiver<()>;
+
+/// Checks the store at a regular interval for the life of the process.
+#[derive(Debug)]
+pub struct StoreCheck<C> {
+    shared: Arc<Shared>,
+    plane: C,
+    followers: Vec<Sender<()>>,
+}
+
+impl<C> StoreCheck<C>
+where
+    C: ControlPlane,
+{
+    /// Creates checks that nobody follows yet.
+    pub fn new(shared: Arc<Shared>, plane: C) -> Self {
+        Self {
+            shared,
+            plane,
+            followers: Vec::new(),
+        }
+    }
+
+    /// Returns a receiver for one task that calls the store.
+    pub fn returns(&mut self) -> StoreReturns {
+        let (tx, rx) = async_channel::bounded(1);
+        self.followers.push(tx);
+        rx
+    }
+
+    /// Runs the checks.
+    pub async fn run(self) {
+        let mut checks = StoreChecks::new(self.shared.settings.in_force_within);
+        loop {
+            let made_at = Instant::now();
+            let answer = self.plane.check(checks.limit()).await;
+            let now = Instant::now();
+            let change = checks.record(answer.is_ok(), made_at, now);
+            if answer.is_err() {
+                self.shared.state().replicas.registry_unavailable(made_at);
+            }
+            match change {
+                Some(StoreChange::Lost) => {
+                    let error = answer.err().map(|e| e.to_string()).unwrap_or_default();
+                    self.shared.metrics.count("store_lost");
+                    log::warn!(event = "store_lost", error = error.as_str(); "the store does not answer");
+                }
+                Some(StoreChange::Back { lost_for }) => self.announce_return(lost_for),
+                None => {}
+            }
+            Timer::after(checks.interval()).await;
+        }
+    }
+
+    fn announce_return(&self, lost_for: Duration) {
+        let lost_ms = u64::try_from(lost_for.as_millis()).unwrap_or(u64::MAX);
+        log::info!(event = "store_back", lost_ms; "the store answers again");
+        for follower in &self.followers {
+            // A full channel means that the follower has not yet seen the last return.
+            let _already_announced = follower.try_send(());
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod retry;
 pub mod routes;
 pub mod share_allocator;
+pub mod store_checks;
 pub mod suspects;
 pub mod watch_pace;
 pub mod window_budget;
