--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -21,6 +21,7 @@
 use hyper::Uri;
 
 use crate::state::InFlight;
+use crate::wire::PromptPartId;
 use crate::wire::RequestHead;
 
 /// Objective of a route that states none.
@@ -143,6 +144,14 @@
         Digest::of_parts(&[caller, method, path, &self.body]).prefix()
     }
 
+    /// Returns the parts of the prompt that other requests may hold too: all but the
+    /// last.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[PromptPartId] {
+        let parts = &self.head.prompt_parts;
+        &parts[..parts.len().saturating_sub(1)]
+    }
+
     /// Returns the longest pause between events that the caller accepts.
     #[must_use]
     pub fn pause_objective(&self) -> Duration {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,6 +51,7 @@
 pub use wire::ForwardedRequest;
 pub use wire::HeadError;
 pub use wire::Helper;
+pub use wire::PromptPartId;
 pub use wire::ReplicaNotice;
 pub use wire::ReplyHead;
 pub use wire::RequestHead;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -355,6 +355,7 @@
             registry = known.registry_revision,
             gateways = known.gateways,
             tokens = job.head.prompt_tokens.unwrap_or(0),
+            shared_parts = job.shared_parts().join(",").as_str(),
             part_ms = plan.part_ms,
             predicted_ms = plan.predicted_ms,
             waited_ms = elapsed_ms(job.arrived);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -474,6 +474,7 @@
         reason,
         framing = framing.as_str(),
         events,
+        shared_parts = job.shared_parts().join(",").as_str(),
         after_ms = elapsed_ms(job.arrived);
         "stream broken"
     );
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -30,10 +30,15 @@
     pub prompt_tokens: Option<u64>,
     /// Most tokens that the answer may have.
     pub output_tokens: Option<u64>,
+    /// Ids of the parts of its prompt, in order. Requests share all but the last.
+    pub prompt_parts: Vec<PromptPartId>,
     /// Event after which the client resumes a stream.
     pub resume_after: Option<CompactString>,
 }
 
+/// Id of a part of a prompt.
+pub type PromptPartId = CompactString;
+
 /// Why a request's head is refused. The texts are sent to the client.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum HeadError {
