Refuse requests with a part of a prompt that crashes engines

Cause: crashes were counted by a digest of caller, path and body. Requests that share the part that crashes engines, and differ in all else, were each new, so none was ever counted twice. Class of fault: the identity under which evidence is collected is not that of the cause.

Change: crashes are counted by each part but the last of those requests whose answer had not begun. An answer on a part clears it; the part with most crashes explains those of others; a part is refused alone only with twice as many as any other that was present, else only requests that hold both are. Refused for 2 s after three in a row, for ten minutes after five; Retry-After says how long. Gateways tell each other.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use hyper::StatusCode;
 
 use crate::job::Job;
+use crate::outcomes::Written;
 use crate::outcomes::record_notice;
 use crate::outcomes::record_outcome;
 use crate::outcomes::record_run;
@@ -204,6 +205,7 @@
                 id,
                 placement.placed_at,
                 SendOutcome::Broken,
+                Written::Nothing,
             );
         }
         log::info!(
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -23,6 +23,7 @@
 use crate::headers::client_response;
 use crate::job::Job;
 use crate::outcomes::UnreadAnswer;
+use crate::outcomes::Written;
 use crate::outcomes::record_run;
 use crate::outcomes::record_unread_answer;
 use crate::request_error::DEFAULT_RETRY_AFTER;
@@ -79,7 +80,8 @@
                         } else {
                             SendOutcome::Answered
                         };
-                        record_run(&dispatcher.shared, job, id, placement.placed_at, outcome);
+                        let shared = &dispatcher.shared;
+                        record_run(shared, job, id, placement.placed_at, outcome, Written::Some);
                         if failed && attempts.allow_another(job, true) {
                             true
                         } else {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -114,6 +114,7 @@
         let mut state = shared.state();
         state.peers.remove_expired(now);
         state.crashes.remove_expired(now);
+        state.crashing_parts.remove_expired(now);
         let presence = shared.next_presence(&mut state, now);
         update_advertised(&mut state, &presence, now);
         let interval = regular_interval(state.peers.count());
@@ -144,6 +145,7 @@
             in_flight: state.load_tracker.own(now),
             queued_prompts: state.prompt_queue.own(now),
             observations: state.crashes.own(now),
+            crashing_parts: state.crashing_parts.own(now),
             failed: state.health.own(state.replicas.usable().count(), now),
             leaving: state.replicas.own_leaving(),
             known,
@@ -244,6 +246,7 @@
         in_flight,
         queued_prompts,
         observations,
+        crashing_parts,
         failed,
         leaving,
         known,
@@ -273,6 +276,9 @@
     state
         .crashes
         .set_peer_observations(incarnation, &observations, now);
+    state
+        .crashing_parts
+        .set_peer_observations(incarnation, &crashing_parts, now);
     state.health.apply_report(&failed, now);
     let events = leaving
         .iter()
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use briarhall_policy::crashes::Observation;
+use briarhall_policy::crashing_parts::PartObservation;
 use briarhall_policy::departures::ReplicaProcess;
 use briarhall_policy::health::FailedRequests;
 use briarhall_policy::load_tracker::Work;
@@ -33,6 +34,8 @@
     /// What the sender observed of requests that may crash replicas.
     #[serde(rename = "signs")]
     pub observations: Vec<Observation>,
+    /// What the sender observed of parts of prompts that may crash replicas.
+    pub crashing_parts: Vec<PartObservation>,
     /// Replicas that failed requests of the sender.
     pub failed: Vec<FailedRequests>,
     /// Replicas that said to the sender that they leave, while the registry lists
@@ -87,11 +90,12 @@
         self.list_lens().iter().sum()
     }
 
-    fn list_lens(&self) -> [usize; 6] {
+    fn list_lens(&self) -> [usize; 7] {
         [
             self.in_flight.len(),
             self.queued_prompts.len(),
             self.observations.len(),
+            self.crashing_parts.len(),
             self.failed.len(),
             self.leaving.len(),
             self.known.len(),
@@ -104,6 +108,7 @@
         self.in_flight.truncate(most);
         self.queued_prompts.truncate(most);
         self.observations.truncate(most);
+        self.crashing_parts.truncate(most);
         self.failed.truncate(most);
         self.leaving.truncate(most);
         self.known.truncate(most);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use briarhall_policy::crashes::Fingerprint;
+use briarhall_policy::crashing_parts::PartDigest;
 use briarhall_policy::engine;
 use briarhall_policy::placement::Prompt;
 use briarhall_policy::placement::Urgency;
@@ -152,6 +153,14 @@
         &parts[..parts.len().saturating_sub(1)]
     }
 
+    /// Returns digests of [`shared_parts`](Self::shared_parts).
+    #[must_use]
+    pub fn part_digests(&self) -> Vec<PartDigest> {
+        let parts = self.shared_parts().iter();
+        let digests = parts.map(|part| Digest::of(part.as_bytes()).prefix());
+        digests.collect()
+    }
+
     /// Returns the longest pause between events that the caller accepts.
     #[must_use]
     pub fn pause_objective(&self) -> Duration {
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use briarhall_net::ReadBodyError;
+use briarhall_policy::crashes::BrokenSend;
 use briarhall_policy::departures::HeardBy;
 use briarhall_policy::departures::ReplicaProcess;
 use briarhall_policy::health::SendOutcome;
@@ -76,33 +77,78 @@
     }
 }
 
+/// How far a replica got with the answer that it is writing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Written {
+    /// Nothing, or so little that it may have crashed as it began.
+    Nothing,
+    /// Enough to show that it could begin.
+    Some,
+}
+
+impl Written {
+    /// Events of a stream that show that a replica could begin: it may crash while it
+    /// writes the first.
+    const EVENTS: u64 = 2;
+
+    /// Returns how far a replica got that has sent so many events.
+    #[must_use]
+    pub fn events(events: u64) -> Self {
+        if events < Self::EVENTS {
+            Self::Nothing
+        } else {
+            Self::Some
+        }
+    }
+}
+
 /// Records the outcome of a request that a replica may have begun to run, also
-/// as evidence of whether the request crashes replicas.
+/// as evidence of whether the request, or a part of its prompt, crashes replicas.
 pub fn record_run(
     shared: &Shared,
     job: &Job,
     id: &ReplicaId,
     sent_at: Instant,
     outcome: SendOutcome,
+    written: Written,
 ) {
     record_outcome(shared, id, outcome);
     let now = Instant::now();
     match outcome {
         SendOutcome::Broken => {
-            let fingerprint = job.fingerprint();
-            let crashes = &mut shared.state().crashes;
-            crashes.connection_broken(fingerprint, id, sent_at, now);
+            let parts = match written {
+                Written::Nothing => job.part_digests(),
+                Written::Some => Vec::new(),
+            };
+            shared.state().crashes.connection_broken(BrokenSend {
+                fingerprint: job.fingerprint(),
+                parts,
+                replica: id.clone(),
+                sent_at,
+                broke_at: now,
+            });
         }
         SendOutcome::Answered | SendOutcome::Failed => {
             if !shared.state().crashes.is_empty() {
                 let fingerprint = job.fingerprint();
                 shared.state().crashes.answered(fingerprint, now);
             }
+            record_written(shared, job);
         }
         SendOutcome::Refused | SendOutcome::Silent | SendOutcome::Unreachable => {}
     }
 }
 
+/// Records that a replica could begin an answer, so that no part of the prompt crashes
+/// replicas.
+pub fn record_written(shared: &Shared, job: &Job) {
+    if shared.state().crashing_parts.is_empty() {
+        return;
+    }
+    let parts = job.part_digests();
+    shared.state().crashing_parts.wrote(&parts, Instant::now());
+}
+
 /// Records that the whole answer of a replica, which is no stream, could not be read.
 pub fn record_unread_answer(
     shared: &Shared,
@@ -113,7 +159,14 @@
 ) {
     let error = match why {
         UnreadAnswer::Broken(e) => {
-            record_run(shared, job, id, sent_at, SendOutcome::Broken);
+            record_run(
+                shared,
+                job,
+                id,
+                sent_at,
+                SendOutcome::Broken,
+                Written::Nothing,
+            );
             e.to_string()
         }
         UnreadAnswer::Silent => {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -6,6 +6,7 @@
 
 use async_io::Timer;
 use briarhall_policy::crashes::CRASHES_TO_BLOCK;
+use briarhall_policy::crashing_parts::Refusal;
 use briarhall_policy::engine;
 use briarhall_policy::load_tracker::tag;
 use briarhall_policy::placement;
@@ -100,8 +101,8 @@
         attempts: &Attempts,
         generated: u64,
     ) -> Result<Placement<W>, RequestError> {
-        if self.crashes_replicas(job) {
-            return Err(attempts.final_error().with_retry_after(CRASHER_RETRY_AFTER));
+        if let Some(wait) = self.crashes_replicas(job) {
+            return Err(attempts.final_error().with_retry_after(wait));
         }
         if let Some(wait) = self.pause_to_wait_out(job, attempts) {
             return Err(attempts.final_error().with_retry_after(wait));
@@ -145,9 +146,19 @@
         }
     }
 
-    /// Returns whether the request is blocked because it crashes the replicas
-    /// that run it.
-    fn crashes_replicas(&self, job: &Job) -> bool {
+    /// Returns how long the request is refused because it crashes the replicas that
+    /// run it, or because a part of its prompt does.
+    fn crashes_replicas(&self, job: &Job) -> Option<Duration> {
+        let wait = if self.is_blocked(job) {
+            CRASHER_RETRY_AFTER
+        } else {
+            self.part_refused_for(job)?
+        };
+        self.shared.metrics.count("request_crashes_replicas");
+        Some(wait)
+    }
+
+    fn is_blocked(&self, job: &Job) -> bool {
         if self.shared.state().crashes.is_empty() {
             return false;
         }
@@ -156,7 +167,6 @@
         let blocked = state.crashes.is_blocked(fingerprint, Instant::now());
         drop(state);
         if blocked {
-            self.shared.metrics.count("request_crashes_replicas");
             log::warn!(
                 event = "crasher",
                 request = job.head.id.as_str(),
@@ -168,6 +178,28 @@
         blocked
     }
 
+    fn part_refused_for(&self, job: &Job) -> Option<Duration> {
+        if self.shared.state().crashing_parts.is_empty() {
+            return None;
+        }
+        let digests = job.part_digests();
+        let mut state = self.shared.state();
+        let refusal = state.crashing_parts.refusal(&digests, Instant::now());
+        drop(state);
+        let Refusal { parts, time_left } = refusal?;
+        let named = job.shared_parts().iter().zip(&digests);
+        let named = named.filter(|(_, digest)| parts.contains(digest));
+        let named = named.map(|(part, _)| part.as_str()).collect::<Vec<_>>();
+        log::warn!(
+            event = "crashing_part",
+            request = job.head.id.as_str(),
+            parts = named.join(",").as_str(),
+            refused_ms = time_left.as_millis();
+            "replicas crash under requests with this part of a prompt, or these together"
+        );
+        Some(time_left)
+    }
+
     /// Returns the shortest pause when all replicas of the service want one. The
     /// client gets it as `Retry-After`, unless the request may have run: then only
     /// this gateway can still give an answer, and waits.
--- a/crates/gateway/src/replica_stream.rs
+++ b/crates/gateway/src/replica_stream.rs
@@ -40,8 +40,8 @@
     pub framing: Framing,
     body: Incoming,
     splitter: EventSplitter,
-    /// Whether it has had an event.
-    has_begun: bool,
+    /// Events that the replica has sent so far.
+    pub events: u64,
     /// Why the stream broke, once it has.
     broken: Option<CompactString>,
     _connection: Connection,
@@ -82,7 +82,7 @@
             framing,
             body,
             splitter: EventSplitter::default(),
-            has_begun: false,
+            events: 0,
             broken: None,
             _connection: connection,
         }
@@ -105,7 +105,7 @@
     async fn read(&mut self) -> StreamItem {
         loop {
             if let Some(event) = self.splitter.next_event() {
-                self.has_begun = true;
+                self.events += 1;
                 return StreamItem::Event(event);
             }
             match self.body.frame().await {
@@ -113,7 +113,7 @@
                     return StreamItem::Broken(CompactString::const_new(ENDED_WITHIN_EVENT));
                 }
                 // A replica that crashes after the head closes its connection too.
-                None if self.framing == Framing::Connection && !self.has_begun => {
+                None if self.framing == Framing::Connection && self.events == 0 => {
                     return StreamItem::Broken(CompactString::const_new(ENDED_BEFORE_EVENTS));
                 }
                 None => return StreamItem::End(self.splitter.take_rest()),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,8 @@
 use briarhall_net::Metrics;
 use briarhall_net::Sessions;
 use briarhall_policy::crashes::Crashes;
+use briarhall_policy::crashing_parts::CrashingParts;
+use briarhall_policy::crashing_parts::replica_digest;
 use briarhall_policy::health::Health;
 use briarhall_policy::load_tracker::LoadTracker;
 use briarhall_policy::load_tracker::Work;
@@ -76,6 +78,8 @@
     pub pauses: Pauses,
     /// Requests that may crash replicas.
     pub crashes: Crashes,
+    /// Parts of prompts that may crash replicas.
+    pub crashing_parts: CrashingParts,
     /// Work in flight at the replicas, this gateway's and its peers'.
     pub load_tracker: LoadTracker,
     /// Long prompts that wait for engines, here and at peers.
@@ -127,6 +131,7 @@
             health: Health::default(),
             pauses: Pauses::default(),
             crashes: Crashes::default(),
+            crashing_parts: CrashingParts::default(),
             load_tracker: LoadTracker::default(),
             prompt_queue: PromptQueue::default(),
             peers: Peers::default(),
@@ -339,9 +344,23 @@
     /// connections to it broke shortly before were in flight at a crash.
     pub fn record_crash(&mut self, id: &ReplicaId, evidence: &str) {
         let in_flight = self.crashes.crashed(id, Instant::now());
-        if in_flight > 0 {
-            log::info!(event = "replica_crashed", replica = id.as_str(), evidence, on_board = in_flight; "replica crashed");
+        if in_flight.is_empty() {
+            return;
+        }
+        let replica = replica_digest(id);
+        for broken in &in_flight {
+            self.crashing_parts
+                .crashed(replica, &broken.parts, broken.sent_at, broken.broke_at);
         }
+        let suspected = in_flight.iter().filter(|b| !b.parts.is_empty()).count();
+        log::info!(
+            event = "replica_crashed",
+            replica = id.as_str(),
+            evidence,
+            on_board = in_flight.len(),
+            suspected;
+            "replica crashed"
+        );
     }
 
     /// Returns the retry budget of a service.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -34,8 +34,10 @@
 use crate::job::Job;
 use crate::job::event_timeout;
 use crate::outcomes::UnreadAnswer;
+use crate::outcomes::Written;
 use crate::outcomes::record_run;
 use crate::outcomes::record_unread_answer;
+use crate::outcomes::record_written;
 use crate::place::Placement;
 use crate::replica_stream::ReplicaStream;
 use crate::replica_stream::StreamItem;
@@ -178,7 +180,8 @@
                 };
                 if let Some(outcome) = outcome {
                     let id = &placement.replica.id;
-                    record_run(&dispatcher.shared, job, id, placement.placed_at, outcome);
+                    let shared = &dispatcher.shared;
+                    record_run(shared, job, id, placement.placed_at, outcome, Written::Some);
                 }
                 StreamStart::Other(Box::new(parts), body)
             }
@@ -207,6 +210,7 @@
             &replica.id,
             *placed_at,
             outcome_of(&first),
+            Written::Nothing,
         );
         return StreamStart::MayHaveRun;
     }
@@ -316,6 +320,7 @@
             self.framing = source.framing;
             match next {
                 StreamItem::Event(event) => {
+                    self.record_begun(&source);
                     if !self.is_repeated(&event) {
                         if event.id.is_some() {
                             self.last_id.clone_from(&event.id);
@@ -327,7 +332,7 @@
                     }
                 }
                 StreamItem::End(rest) => {
-                    self.record(&source.placement, SendOutcome::Answered);
+                    self.record(&source, SendOutcome::Answered);
                     self.rest_bytes = rest.len();
                     if !rest.is_empty() && tx.send(rest).await.is_err() {
                         return StreamEnd::ClientLeft;
@@ -337,7 +342,7 @@
                 StreamItem::Broken(_) => {
                     let id = &source.placement.replica.id;
                     log_break(&self.job, id, &next, source.framing, self.events);
-                    self.record(&source.placement, SendOutcome::Broken);
+                    self.record(&source, SendOutcome::Broken);
                     drop(source);
                     match self.resume().await {
                         Some((resumed, event)) => {
@@ -356,7 +361,7 @@
                     }
                     let id = &source.placement.replica.id;
                     log_break(&self.job, id, &next, source.framing, self.events);
-                    self.record(&source.placement, SendOutcome::Silent);
+                    self.record(&source, SendOutcome::Silent);
                     (source, next) = self.resume_or_wait(source).await;
                     continue;
                 }
@@ -365,17 +370,26 @@
         }
     }
 
-    fn record(&self, placement: &Placement<W>, outcome: SendOutcome) {
-        let id = &placement.replica.id;
+    fn record(&self, source: &ReplicaStream<W>, outcome: SendOutcome) {
+        let placement = &source.placement;
         record_run(
             &self.dispatcher.shared,
             &self.job,
-            id,
+            &placement.replica.id,
             placement.placed_at,
             outcome,
+            Written::events(source.events),
         );
     }
 
+    /// Records, once for each replica, that it could begin the answer.
+    fn record_begun(&mut self, source: &ReplicaStream<W>) {
+        let written = Written::events(source.events);
+        if written == Written::Some && Written::events(source.events - 1) != written {
+            record_written(&self.dispatcher.shared, &self.job);
+        }
+    }
+
     /// Returns whether the client already has an event.
     fn is_repeated(&self, event: &Event) -> bool {
         let number = |id: &CompactString| id.parse::<u64>().ok();
--- a/crates/gateway/tests/heartbeat.rs
+++ b/crates/gateway/tests/heartbeat.rs
@@ -10,6 +10,9 @@
 use briarhall_policy::crashes::Crashes;
 use briarhall_policy::crashes::Observation;
 use briarhall_policy::crashes::ObservedOutcome;
+use briarhall_policy::crashing_parts::CrashingParts;
+use briarhall_policy::crashing_parts::PartObservation;
+use briarhall_policy::crashing_parts::PartOutcome;
 use briarhall_policy::departures::HeardBy;
 use briarhall_policy::departures::ReplicaProcess;
 use briarhall_policy::health::FailedRequests;
@@ -52,6 +55,14 @@
         outcome: ObservedOutcome::Crashed { ran_ms: 30 },
         age_ms: 900,
     };
+    let crashing_part = PartObservation {
+        part: 0xfedc_ba98_7654_3210,
+        outcome: PartOutcome::Crashed {
+            replica: 0x1234_5678,
+            ran_ms: 30,
+        },
+        age_ms: 900,
+    };
     Heartbeat {
         presence: Presence {
             vm: "vm-1".into(),
@@ -82,6 +93,7 @@
         in_flight: vec![work; 3],
         queued_prompts: vec![queued_prompt; 2],
         observations: vec![crash; 2],
+        crashing_parts: vec![crashing_part; 4],
         failed: vec![FailedRequests {
             replica: 7,
             penalty: 2.0,
@@ -147,6 +159,7 @@
         in_flight: Vec::new(),
         queued_prompts: Vec::new(),
         observations: Vec::new(),
+        crashing_parts: Vec::new(),
         failed: Vec::new(),
         leaving: Vec::new(),
         known: Vec::new(),
@@ -197,6 +210,7 @@
         in_flight,
         queued_prompts,
         observations,
+        crashing_parts,
         failed,
         leaving,
         known,
@@ -217,6 +231,8 @@
     load_tracker.set_peer_work(vm.clone(), in_flight, now);
     prompt_queue.set_peer_prompts(vm, queued_prompts, now);
     crashes.set_peer_observations(incarnation, &observations, now);
+    let mut suspected = CrashingParts::default();
+    suspected.set_peer_observations(incarnation, &crashing_parts, now);
     let mut health = Health::default();
     health.apply_report(&failed, now);
     let mut replicas = Replicas::default();
@@ -240,6 +256,12 @@
         let _blocked = crashes.is_blocked(fingerprint, later);
     }
     crashes.remove_expired(later);
+    for observation in &crashing_parts {
+        // Either result is right here too.
+        let _refused = suspected.refusal(&[observation.part], later);
+    }
+    suspected.remove_expired(later);
+    assert!(suspected.own(later).len() <= crashing_parts.len());
 }
 
 #[test]
--- a/crates/policy/src/crashes.rs
+++ b/crates/policy/src/crashes.rs
@@ -27,6 +27,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::crashing_parts::PartDigest;
 use crate::peers::Incarnation;
 
 /// Crashes in a row that block a request: two can happen to a request that is not
@@ -47,7 +48,7 @@
 pub const MAX_OBSERVATIONS: usize = 64;
 /// Tolerance when two gateways' times are compared: ages are sent in whole
 /// milliseconds and are in transit for one or two.
-const TIME_TOLERANCE: Duration = Duration::from_millis(20);
+pub(crate) const TIME_TOLERANCE: Duration = Duration::from_millis(20);
 /// Broken sends that wait for the confirmation of a crash: what one replica may
 /// have in flight, times the replicas lost at once.
 const MAX_BROKEN: usize = 512;
@@ -94,11 +95,17 @@
 
 /// A send whose connection broke.
 #[derive(Debug, Clone)]
-struct BrokenSend {
-    fingerprint: Fingerprint,
-    replica: ReplicaId,
-    sent_at: Instant,
-    broke_at: Instant,
+pub struct BrokenSend {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Parts of its prompt that may be the cause: none once an answer was begun.
+    pub parts: Vec<PartDigest>,
+    /// Where it was sent.
+    pub replica: ReplicaId,
+    /// When it was sent.
+    pub sent_at: Instant,
+    /// When the connection broke.
+    pub broke_at: Instant,
 }
 
 /// Observed crashes and the requests that were in flight at them.
@@ -118,27 +125,16 @@
     }
 
     /// Records that a connection broke while the replica had the request.
-    pub fn connection_broken(
-        &mut self,
-        fingerprint: Fingerprint,
-        replica: &ReplicaId,
-        sent_at: Instant,
-        now: Instant,
-    ) {
+    pub fn connection_broken(&mut self, broken: BrokenSend) {
         if self.broken.len() == MAX_BROKEN {
             self.broken.pop_front();
         }
-        self.broken.push_back(BrokenSend {
-            fingerprint,
-            replica: replica.clone(),
-            sent_at,
-            broke_at: now,
-        });
+        self.broken.push_back(broken);
     }
 
-    /// Records that a replica was found gone, restarted or unreachable. Returns
-    /// how many of this gateway's requests were in flight when it crashed.
-    pub fn crashed(&mut self, replica: &ReplicaId, now: Instant) -> usize {
+    /// Records that a replica was found gone, restarted or unreachable. Returns this
+    /// gateway's requests that were in flight when it crashed.
+    pub fn crashed(&mut self, replica: &ReplicaId, now: Instant) -> Vec<BrokenSend> {
         let mut in_flight = Vec::new();
         self.broken.retain(|broken| {
             let recent = now.saturating_duration_since(broken.broke_at) < CONFIRM_WITHIN;
@@ -157,7 +153,7 @@
                 at: broken.broke_at,
             });
         }
-        in_flight.len()
+        in_flight
     }
 
     /// Records that a request was answered, so it does not crash replicas.
@@ -283,6 +279,7 @@
     }
 }
 
-fn millis(duration: Duration) -> u32 {
+/// Returns whole milliseconds, as observations hold them.
+pub(crate) fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claims;
 pub mod config_store;
 pub mod crashes;
+pub mod crashing_parts;
 pub mod deadline_queue;
 pub mod departures;
 pub mod engine;
--- a/crates/policy/tests/crashes.rs
+++ b/crates/policy/tests/crashes.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use bolero::TypeGenerator;
+use briarhall_policy::crashes::BrokenSend;
 use briarhall_policy::crashes::CONFIRM_WITHIN;
 use briarhall_policy::crashes::CRASHES_TO_BLOCK;
 use briarhall_policy::crashes::Crashes;
@@ -57,6 +58,16 @@
     ReplicaId::from(format!("i-{n}"))
 }
 
+fn broken(fingerprint: u64, n: usize, sent_at: Instant, broke_at: Instant) -> BrokenSend {
+    BrokenSend {
+        fingerprint,
+        parts: Vec::new(),
+        replica: replica(n),
+        sent_at,
+        broke_at,
+    }
+}
+
 impl Simulation {
     fn new() -> Self {
         Self {
@@ -83,7 +94,7 @@
         let in_flight = std::mem::take(&mut self.in_flight[n]);
         for sent in &in_flight {
             let crashes = &mut self.gateways[sent.gateway];
-            crashes.connection_broken(u64::from(sent.request), &replica(n), sent.at, self.now);
+            crashes.connection_broken(broken(u64::from(sent.request), n, sent.at, self.now));
         }
         for sent in &in_flight {
             let request = usize::from(sent.request);
@@ -172,7 +183,7 @@
 
 /// Records that a replica crashed with the request in flight.
 fn record_crash(crashes: &mut Crashes, fingerprint: u64, n: usize, sent: Instant, now: Instant) {
-    crashes.connection_broken(fingerprint, &replica(n), sent, now);
+    crashes.connection_broken(broken(fingerprint, n, sent, now));
     crashes.crashed(&replica(n), now);
 }
 
@@ -192,12 +203,12 @@
     let mut crashes = Crashes::default();
     for n in 0..8_u32 {
         let sent = now + RUN * n;
-        crashes.connection_broken(7, &replica(1), sent, sent + RUN / 2);
+        crashes.connection_broken(broken(7, 1, sent, sent + RUN / 2));
     }
     assert!(!crashes.is_blocked(7, now + RUN * 8));
     // The replica is gone, but long after the connections broke.
     let later = now + RUN * 8 + CONFIRM_WITHIN;
-    assert_eq!(crashes.crashed(&replica(1), later), 0);
+    assert_eq!(crashes.crashed(&replica(1), later).len(), 0);
 }
 
 #[test]
