Check whether a replica still listens when a connection to it has broken

What callers saw: engines crashed one after the other, for seconds after their gateways had seen the first crashes.

A replica that has just failed is not chosen again, so the second way works by chance only. By the time three crashes in a row were known, the fifth was more than the bound of 3 s old. Class of fault: evidence that waits for somebody else's time limit.

Change: a broken connection is followed, 20 ms later, by one attempt to connect to that replica, at most five a second for each. A refusal counts as a crash; anything else shows nothing, and lapsed entries count as before.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod client_request;
 mod config_watch;
 mod control_plane;
+mod crash_check;
 mod directory;
 mod error;
 mod follow;
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -127,6 +127,7 @@
                 sent_at,
                 broke_at: now,
             });
+            shared.request_crash_check(id);
         }
         SendOutcome::Answered | SendOutcome::Failed => {
             if !shared.state().crashes.is_empty() {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -26,6 +26,7 @@
 use crate::client_request::ClientRequests;
 use crate::config_watch::FollowedConfiguration;
 use crate::control_plane::ControlPlane;
+use crate::crash_check;
 use crate::directory::Directory;
 use crate::error::StartError;
 use crate::follow::follow;
@@ -74,7 +75,7 @@
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(StartError::Signals)?;
     log::info!(event = "start", vm = settings.vm.as_str(), version = env!("CARGO_PKG_VERSION"); "gateway starting");
-    let (shared, heartbeat_requests) = Shared::new(settings);
+    let (shared, requests) = Shared::new(settings);
     let settings = &shared.settings;
     let socket = UdpSocket::bind(settings.gossip_address).await;
     let socket = socket.map_err(|e| bind_error("gossip", settings.gossip_address, e))?;
@@ -82,7 +83,7 @@
     executor.detach(gossip::send(
         Arc::clone(&shared),
         socket,
-        heartbeat_requests,
+        requests.heartbeats,
     ));
     executor.detach(gossip::remove_down_peers(Arc::clone(&shared)));
     let mut store_check = StoreCheck::new(Arc::clone(&shared), plane.clone());
@@ -100,6 +101,12 @@
     executor.detach(store_check.run());
     executor.detach(replica_watch::expire(Arc::clone(&shared)));
     executor.detach(relay::catch_up(Arc::clone(&shared), client.clone()));
+    executor.detach(crash_check::run(
+        Arc::clone(&shared),
+        client.clone(),
+        executor.clone(),
+        requests.broken,
+    ));
     let relay = RelayService {
         shared: Arc::clone(&shared),
     };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -47,6 +47,9 @@
 /// are known: a gateway that is cut off must not spend the others' share.
 const MIN_GATEWAYS: usize = 10;
 
+/// Broken connections that wait for a check.
+const MAX_BROKEN: usize = 128;
+
 /// Client requests a second from which a gateway that is not advertised needs
 /// every change of the others' work: fewer are spread over engines well enough
 /// without.
@@ -115,15 +118,25 @@
     pub incarnation: Incarnation,
     state: Mutex<State>,
     heartbeat_requests: Sender<()>,
+    broken: Sender<ReplicaId>,
     sessions: OnceLock<Sessions>,
 }
 
+/// Receives what tasks ask of each other.
+#[derive(Debug)]
+pub struct Requests {
+    /// Requests of heartbeats.
+    pub heartbeats: Receiver<()>,
+    /// Replicas to which a connection has broken.
+    pub broken: Receiver<ReplicaId>,
+}
+
 impl Shared {
-    /// Creates the state of a process that has read nothing yet. The receiver
-    /// gets a message when a heartbeat is requested.
+    /// Creates the state of a process that has read nothing yet.
     #[must_use]
-    pub fn new(settings: Settings) -> (Arc<Self>, Receiver<()>) {
-        let (heartbeat_requests, requests) = async_channel::bounded(1);
+    pub fn new(settings: Settings) -> (Arc<Self>, Requests) {
+        let (heartbeat_requests, heartbeats) = async_channel::bounded(1);
+        let (broken, broken_rx) = async_channel::bounded(MAX_BROKEN);
         let state = State {
             current_configuration: None,
             replicas: Replicas::default(),
@@ -151,8 +164,13 @@
             incarnation: rand::random(),
             state: Mutex::new(state),
             heartbeat_requests,
+            broken,
             sessions: OnceLock::new(),
         };
+        let requests = Requests {
+            heartbeats,
+            broken: broken_rx,
+        };
         (Arc::new(shared), requests)
     }
 
@@ -193,6 +211,12 @@
         let _already_requested = self.heartbeat_requests.try_send(());
     }
 
+    /// Requests a check of a replica to which a connection has broken.
+    pub fn request_crash_check(&self, id: &ReplicaId) {
+        // A full channel holds other connections that broke at the same crash.
+        let _already_requested = self.broken.try_send(id.clone());
+    }
+
     /// Records a client's request, which adds a fraction of a retry to the
     /// service's budget.
     pub fn record_arrival(&self, service: &ServiceName) {
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -246,6 +246,19 @@
             .map_err(|_e| HttpError::Elapsed { address })?
     }
 
+    /// Opens a connection and closes it again, to see whether anything listens.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that says whether the connection was refused.
+    pub async fn check_listening(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<(), HttpError> {
+        connect(address, limit).await.map(drop)
+    }
+
     /// Sends a request that is already built and waits for the head of the
     /// answer without a limit. Dropping the future closes the connection.
     ///
