--- a/crates/policy/src/crashing_parts.rs
+++ b/crates/policy/src/crashing_parts.rs
@@ -135,7 +135,9 @@
     suspects: Vec<Suspects>,
     /// Blocked parts, by their last crash.
     blocked: BTreeMap<PartDigest, Instant>,
-    /// Whether the last two do not yet follow from all observations.
+    /// Other parts that were present at several crashes that no blocked part explains.
+    repeated: BTreeSet<PartDigest>,
+    /// Whether the last three do not yet follow from all observations.
     is_stale: bool,
 }
 
@@ -310,12 +312,8 @@
         }
         self.update();
         let age = |at: Instant| now.saturating_duration_since(at);
-        let firm = self.suspects.iter();
-        let firm = firm.filter(|suspects| suspects.crashes >= CRASHES_TO_BLOCK);
-        let firm = firm.flat_map(|suspects| suspects.parts.iter().copied());
-        let firm = firm.collect::<BTreeSet<_>>();
         let is_kept = |crash: &Crash| {
-            let kept_for = if firm.contains(&crash.part) {
+            let kept_for = if self.repeated.contains(&crash.part) {
                 REMEMBER_FOR
             } else {
                 SUSPECT_FOR
@@ -360,6 +358,7 @@
         for part in self.blocked.keys() {
             presence.explain_by(*part);
         }
+        self.repeated = presence.repeated();
         self.suspects = presence.suspects();
         for suspects in &self.suspects {
             if suspects.parts.len() == 1 && suspects.crashes >= CRASHES_TO_BLOCK {
@@ -431,6 +430,11 @@
         }
     }
 
+    fn repeated(&self) -> BTreeSet<PartDigest> {
+        let repeated = self.sent.iter().filter(|(_, of_part)| of_part.len() > 1);
+        repeated.map(|(part, _)| *part).collect()
+    }
+
     /// Returns how many crashes were in a row, each of a send after the one before.
     fn in_a_row(&self, of_part: &BTreeMap<usize, Instant>) -> usize {
         let mut last = None;
--- a/crates/policy/tests/crashing_parts.rs
+++ b/crates/policy/tests/crashing_parts.rs
@@ -263,8 +263,12 @@
 }
 
 fn check_load(load: Load, seeds: u64) {
+    check_load_for(Duration::from_secs(25), load, seeds);
+}
+
+fn check_load_for(time: Duration, load: Load, seeds: u64) {
     for seed in 0..seeds {
-        let outcome = Fleet::new(load, seed).run(Duration::from_secs(25));
+        let outcome = Fleet::new(load, seed).run(time);
         let after = outcome.sends_after();
         assert!(after <= MAX_SENDS_AFTER, "seed {seed}: {after} sends after");
         let (_, served) = outcome.sound_served();
@@ -300,6 +304,17 @@
     a_part_is_found_while_engines_crash_on_their_own(60): Load { crashes_per_s: 0.5, ..RECRUITERS },
 }
 
+/// Guards against a part that comes too rarely for three crashes in a minute, and takes an
+/// engine each time for as long as it comes.
+#[test]
+fn a_part_that_comes_every_half_minute_is_found() {
+    let load = Load {
+        poison_per_s: 1.0 / 25.0,
+        ..RECRUITERS
+    };
+    check_load_for(Duration::from_mins(8), load, 8);
+}
+
 /// Guards against refusing sound requests because engines crash on their own.
 #[test]
 fn engines_that_crash_on_their_own_suspend_hardly_anything() {
