Bound what is read before the head of an answer

What callers saw in the test: nothing. 16 callers of a replica that sends interim answers (1xx) without end had no answer 12 s after their deadline, and neither had anybody else: the gateway did nothing but read.

Cause: hyper bounds the size of one head, not the number of interim heads before it, and reads on for as long as bytes are there without giving way. Time limits are tasks of the same executor. Class of fault: a loop whose end the other side decides.

Ruled out: heads, headers and status lines without end, which hyper ends (tests pass).

Change: until the head has arrived, a connection gives an error after 1 MiB, more than twice what hyper buffers. This holds for all calls, to the store and other gateways too.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -28,6 +28,8 @@
 
 use crate::Body;
 use crate::Executor;
+use crate::head_limit::HeadArrived;
+use crate::head_limit::HeadLimit;
 use crate::read_limited;
 use crate::timeout;
 
@@ -277,6 +279,8 @@
         };
         let stream = connect(address, connect_limit).await?;
         enable_keepalive(&stream);
+        let arrived = HeadArrived::default();
+        let stream = HeadLimit::new(stream, arrived.clone());
         let (mut sender, conn) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(broken)?;
@@ -285,6 +289,7 @@
             let _seen_by_reader = conn.await;
         });
         let reply = sender.send_request(req).await.map_err(broken)?;
+        arrived.set();
         Ok(Exchange { reply, connection })
     }
 
@@ -298,6 +303,8 @@
             address,
             reason: e.to_string(),
         };
+        let arrived = HeadArrived::default();
+        let stream = HeadLimit::new(stream, arrived.clone());
         let (mut sender, conn) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(broken)?;
@@ -305,7 +312,9 @@
             // Its error reaches the caller through the answer's body.
             let _seen_by_reader = conn.await;
         });
-        sender.send_request(req).await.map_err(broken)
+        let reply = sender.send_request(req).await.map_err(broken)?;
+        arrived.set();
+        Ok(reply)
     }
 
     /// Sends a call and reads a JSON answer with a success status.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 mod client;
 mod exec;
 mod framing;
+mod head_limit;
 mod logging;
 mod metrics;
 mod reply;
