Count one crash for a replica that breaks answers and then leaves

What callers saw in a test: a sound request was refused for 20 s and more, with a sound replica in the registry, as one that crashes replicas.

Cause: at a confirmed crash every connection to that replica that had broken in the 10 s before counted as a crash of its own, at its own time. A replica that breaks off several answers, runs on, and is then removed made 'three crashes in a row' of one: its callers' repeated requests were blocked everywhere for ten minutes.

Change: only what broke within 200 ms of the last can have been there at the crash, and a request that was there several times has met one.

--- a/crates/policy/src/crashes.rs
+++ b/crates/policy/src/crashes.rs
@@ -37,6 +37,8 @@
 /// has crashed: its entry lapses after three heartbeats, and it restarts after
 /// some seconds.
 pub const CONFIRM_WITHIN: Duration = Duration::from_secs(10);
+/// Time within which the connections to a replica break that crashes.
+const BROKEN_AT_ONCE: Duration = Duration::from_millis(200);
 /// How long a request stays blocked. It may be tried again after that.
 pub const REMEMBER_FOR: Duration = Duration::from_mins(10);
 /// How long crashes count that have not blocked a request yet: longer than any
@@ -143,7 +145,20 @@
             }
             recent && broken.replica != *replica
         });
-        for broken in &in_flight {
+        // What broke earlier was not there at the crash: the replica ran on.
+        let last = in_flight.iter().map(|broken| broken.broke_at).max();
+        in_flight.retain(|broken| {
+            last.is_some_and(|last| {
+                last.saturating_duration_since(broken.broke_at) < BROKEN_AT_ONCE
+            })
+        });
+        // A request that was there several times has met one crash.
+        let latest = in_flight
+            .iter()
+            .map(|broken| (broken.fingerprint, broken))
+            .collect::<BTreeMap<_, _>>();
+        let latest = latest.into_values().cloned().collect::<Vec<_>>();
+        for broken in &latest {
             let ran = broken.broke_at.saturating_duration_since(broken.sent_at);
             self.record(TimedObservation {
                 fingerprint: broken.fingerprint,
--- a/crates/policy/tests/crashes.rs
+++ b/crates/policy/tests/crashes.rs
@@ -211,6 +211,25 @@
     assert_eq!(crashes.crashed(&replica(1), later).len(), 0);
 }
 
+/// Guards against a request that is refused everywhere since one replica broke off its
+/// answers, one after the other, and then left.
+#[test]
+fn a_replica_that_breaks_answers_and_then_leaves_crashed_once() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    for n in 0..8_u32 {
+        let sent = now + RUN * n;
+        crashes.connection_broken(broken(7, 1, sent, sent + RUN / 2));
+    }
+    let gone = now + RUN * 8;
+    let in_flight = crashes.crashed(&replica(1), gone);
+    assert!(!crashes.is_blocked(7, gone));
+    // Only what broke last can have been there when it ended.
+    let last = gone.checked_sub(RUN * 3).expect("a time after the first");
+    assert!(in_flight.iter().all(|broken| broken.broke_at > last));
+    assert!(!in_flight.is_empty());
+}
+
 #[test]
 fn a_block_outlives_the_gateway_that_saw_the_crashes() {
     let now = Instant::now();
