Keep the deadline of streams that never pause, and take no comment for an answer

What callers saw in the tests: of 16 streams of empty lines or comments without end the last was answered 7 s after its deadline of 3 s.

Cause: a task that forwards a stream gave way only when it had to wait. Bytes without end never make it wait, and its own deadline is another future of the same task. Besides, an empty line or a comment counted as the first event, so the answer began with a 200 that nothing followed.

Ruled out: memory (events are bounded, the channel to the client too), the connection left open (it closes).

Change: the task gives way after each event. Blank events before the first one are kept for it, up to 1 MiB, and do not count as events, also not as a sign that a replica could begin an answer. What a client gets of whole streams is unchanged, byte for byte.

--- a/crates/gateway/src/replica_stream.rs
+++ b/crates/gateway/src/replica_stream.rs
@@ -10,6 +10,7 @@
 use briarhall_net::Framing;
 use briarhall_net::timeout;
 use bytes::Bytes;
+use bytes::BytesMut;
 use compact_str::CompactString;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
@@ -20,12 +21,15 @@
 use crate::place::Placement;
 use crate::sse::Event;
 use crate::sse::EventSplitter;
+use crate::sse::MAX_EVENT_BYTES;
 use crate::wire::Wire;
 
 /// Media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 /// Why a stream is broken that ended with its connection and had no event.
 const ENDED_BEFORE_EVENTS: &str = "the connection ended before the first event";
+/// Why a stream is broken that consists of blank lines and comments.
+const NO_EVENT: &str = "the answer has no event among its blank lines and comments";
 /// Why a stream is broken whose body ended within an event.
 const ENDED_WITHIN_EVENT: &str = "the answer ended within an event";
 
@@ -40,8 +44,10 @@
     pub framing: Framing,
     body: Incoming,
     splitter: EventSplitter,
-    /// Events that the replica has sent so far.
+    /// Events that the replica has sent so far, blank ones not counted.
     pub events: u64,
+    /// Blank lines and comments before the first event.
+    preamble: BytesMut,
     /// Why the stream broke, once it has.
     broken: Option<CompactString>,
     _connection: Connection,
@@ -83,6 +89,7 @@
             body,
             splitter: EventSplitter::default(),
             events: 0,
+            preamble: BytesMut::new(),
             broken: None,
             _connection: connection,
         }
@@ -105,8 +112,10 @@
     async fn read(&mut self) -> StreamItem {
         loop {
             if let Some(event) = self.splitter.next_event() {
-                self.events += 1;
-                return StreamItem::Event(event);
+                if let Some(item) = self.count(event) {
+                    return item;
+                }
+                continue;
             }
             match self.body.frame().await {
                 None if self.splitter.is_within_event() => {
@@ -116,7 +125,10 @@
                 None if self.framing == Framing::Connection && self.events == 0 => {
                     return StreamItem::Broken(CompactString::const_new(ENDED_BEFORE_EVENTS));
                 }
-                None => return StreamItem::End(self.splitter.take_rest()),
+                None => {
+                    self.preamble.extend_from_slice(&self.splitter.take_rest());
+                    return StreamItem::End(self.preamble.split().freeze());
+                }
                 Some(Err(e)) => return StreamItem::Broken(CompactString::from(e.to_string())),
                 Some(Ok(frame)) => {
                     let Some(data) = frame.data_ref() else {
@@ -131,6 +143,32 @@
     }
 }
 
+impl<W> ReplicaStream<W>
+where
+    W: Wire,
+{
+    /// Counts an event. Blank ones before the first are kept for it: they do not show
+    /// that an answer has begun.
+    fn count(&mut self, mut event: Event) -> Option<StreamItem> {
+        if event.is_blank && self.events == 0 {
+            if self.preamble.len() + event.bytes.len() > MAX_EVENT_BYTES {
+                return Some(StreamItem::Broken(CompactString::const_new(NO_EVENT)));
+            }
+            self.preamble.extend_from_slice(&event.bytes);
+            return None;
+        }
+        if !event.is_blank {
+            self.events += 1;
+        }
+        if !self.preamble.is_empty() {
+            let mut bytes = std::mem::take(&mut self.preamble);
+            bytes.extend_from_slice(&event.bytes);
+            event.bytes = bytes.freeze();
+        }
+        Some(StreamItem::Event(event))
+    }
+}
+
 /// Returns whether the body is a stream of events; one that does not say what it
 /// is counts as one.
 pub fn is_event_stream(headers: &HeaderMap) -> bool {
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -11,7 +11,7 @@
 use thiserror::Error;
 
 /// Longest event that is buffered until it is complete.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// One complete event, with the empty line that ends it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,6 +20,9 @@
     pub bytes: Bytes,
     /// Its id, if it has one.
     pub id: Option<CompactString>,
+    /// Whether it has no field: blank lines and comments, which keep a connection
+    /// alive and are no part of an answer.
+    pub is_blank: bool,
 }
 
 /// An event is longer than the buffer allows.
@@ -59,18 +62,21 @@
         self.scanned = 0;
         let bytes = self.buf.split_to(from + end).freeze();
         let id = id_of(&bytes);
-        Some(Event { bytes, id })
+        let is_blank = !has_field(&bytes);
+        Some(Event {
+            bytes,
+            id,
+            is_blank,
+        })
     }
 
     /// Returns whether the buffered bytes are the beginning of an event. Blank
     /// lines and comments between events are not.
     #[must_use]
     pub fn is_within_event(&self) -> bool {
-        let is_line_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
-        let mut lines = self.buf.as_ref().split(is_line_end);
-        // What follows the last line end is a line that is not complete.
-        let unfinished = lines.next_back().unwrap_or_default();
-        !unfinished.is_empty() || lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+        let last_end = self.buf.iter().rposition(|byte| is_line_end(*byte));
+        let (lines, unfinished) = self.buf.split_at(last_end.map_or(0, |at| at + 1));
+        !unfinished.is_empty() || has_field(lines)
     }
 
     /// Returns the buffered bytes, for a stream that ends between events.
@@ -93,8 +99,18 @@
     })
 }
 
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
+/// Returns whether any of these lines is neither blank nor a comment.
+fn has_field(lines: &[u8]) -> bool {
+    let mut lines = lines.split(|byte| is_line_end(*byte));
+    lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 fn id_of(event: &[u8]) -> Option<CompactString> {
-    let lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
+    let lines = event.split(|byte| is_line_end(*byte));
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
     let id = std::str::from_utf8(ids.next_back()?).ok()?;
     Some(CompactString::from(id.trim()))
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -320,12 +320,12 @@
             self.framing = source.framing;
             match next {
                 StreamItem::Event(event) => {
-                    self.record_begun(&source);
+                    self.record_begun(&source, &event);
                     if !self.is_repeated(&event) {
                         if event.id.is_some() {
                             self.last_id.clone_from(&event.id);
                         }
-                        self.events += 1;
+                        self.events += u64::from(!event.is_blank);
                         if tx.send(event.bytes).await.is_err() {
                             return StreamEnd::ClientLeft;
                         }
@@ -366,6 +366,9 @@
                     continue;
                 }
             }
+            // A replica that sends faster than the client reads would keep this task
+            // from giving way, also to the deadline.
+            future::yield_now().await;
             next = source.next(silence).await;
         }
     }
@@ -383,9 +386,9 @@
     }
 
     /// Records, once for each replica, that it could begin the answer.
-    fn record_begun(&mut self, source: &ReplicaStream<W>) {
-        let written = Written::events(source.events);
-        if written == Written::Some && Written::events(source.events - 1) != written {
+    fn record_begun(&self, source: &ReplicaStream<W>, last: &Event) {
+        let before = source.events - u64::from(!last.is_blank);
+        if Written::events(before) != Written::events(source.events) {
             record_written(&self.dispatcher.shared, &self.job);
         }
     }
