Bound what all answers hold that are read whole

What callers saw in the test: the gateway held 291 MB for 16 callers of a replica whose body does not end, on VMs of 160 to 512 MB: more than what ends the process, and all other answers with it.

Cause: each whole answer may have 16 MiB, in a buffer that doubles, and nothing counted them together. What was too long was read on for another 64 MiB, which is right for a client that has to see its answer and useless for a replica.

Change: answers that are read whole hold 24 MiB together; the first 64 KiB of each do not count, so that short ones are read whatever others hold. Buffers grow by an eighth. What exceeds the budget ends with 502, is counted (answer_no_memory_total), and is not held against the replica. Nothing is read on.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -10,7 +10,7 @@
 use briarhall_net::Body;
 use briarhall_net::Exchange;
 use briarhall_net::Framing;
-use briarhall_net::read_limited;
+use briarhall_net::read_within;
 use briarhall_net::timeout;
 use briarhall_policy::health::SendOutcome;
 use hyper::Response;
@@ -69,7 +69,8 @@
             SendResult::Answer(exchange, _head) => {
                 let Exchange { reply, connection } = *exchange;
                 let (parts, body) = reply.into_parts();
-                let whole = read_limited(body, MAX_RESPONSE_BYTES);
+                let budget = &dispatcher.shared.answer_bytes;
+                let whole = read_within(body, MAX_RESPONSE_BYTES, budget);
                 let read = timeout(job.time_left().saturating_sub(RESPONSE_MARGIN), whole).await;
                 drop(connection);
                 match read {
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -3,7 +3,7 @@
 
 use std::time::Instant;
 
-use briarhall_net::ReadBodyError;
+use briarhall_net::ReadWithinError;
 use briarhall_policy::crashes::BrokenSend;
 use briarhall_policy::departures::HeardBy;
 use briarhall_policy::departures::ReplicaProcess;
@@ -19,7 +19,7 @@
 #[derive(Debug, Clone, Copy)]
 pub enum UnreadAnswer<'a> {
     /// It broke off, or is too long.
-    Broken(&'a ReadBodyError),
+    Broken(&'a ReadWithinError),
     /// It did not end in time.
     Silent,
 }
@@ -159,6 +159,11 @@
     why: UnreadAnswer<'_>,
 ) {
     let error = match why {
+        // The replica is not at fault.
+        UnreadAnswer::Broken(e @ ReadWithinError::NoMemory { .. }) => {
+            shared.metrics.count("answer_no_memory");
+            e.to_string()
+        }
         UnreadAnswer::Broken(e) => {
             record_run(
                 shared,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use briarhall_net::ByteBudget;
 use briarhall_net::Metrics;
 use briarhall_net::Sessions;
 use briarhall_policy::crashes::Crashes;
@@ -47,6 +48,10 @@
 /// are known: a gateway that is cut off must not spend the others' share.
 const MIN_GATEWAYS: usize = 10;
 
+/// Bytes that all answers together may hold that are read whole before they are passed
+/// on.
+const MAX_ANSWER_BYTES: usize = 24 * 1024 * 1024;
+
 /// Broken connections that wait for a check.
 const MAX_BROKEN: usize = 128;
 
@@ -114,6 +119,8 @@
     pub settings: Settings,
     /// Counters and latencies.
     pub metrics: Metrics,
+    /// Bytes of answers that are not yet whole.
+    pub answer_bytes: ByteBudget,
     /// Random number of this run of the process.
     pub incarnation: Incarnation,
     state: Mutex<State>,
@@ -161,6 +168,7 @@
         let shared = Self {
             settings,
             metrics: Metrics::in_memory("briarhall.gateway"),
+            answer_bytes: ByteBudget::new(MAX_ANSWER_BYTES),
             incarnation: rand::random(),
             state: Mutex::new(state),
             heartbeat_requests,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -14,7 +14,7 @@
 use briarhall_net::BodySender;
 use briarhall_net::Exchange;
 use briarhall_net::Framing;
-use briarhall_net::read_limited;
+use briarhall_net::read_within;
 use briarhall_net::timeout;
 use briarhall_policy::health::SendOutcome;
 use bytes::Bytes;
@@ -168,7 +168,8 @@
     let Exchange { reply, connection } = exchange;
     let (parts, body) = reply.into_parts();
     if !parts.status.is_success() || !is_event_stream(&parts.headers) {
-        let whole = read_limited(body, MAX_WHOLE_BYTES);
+        let budget = &dispatcher.shared.answer_bytes;
+        let whole = read_within(body, MAX_WHOLE_BYTES, budget);
         return match timeout(left, whole).await {
             Ok(Ok(body)) => {
                 let outcome = if parts.status.is_server_error() {
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -16,10 +16,18 @@
 use http_body_util::BodyExt;
 use thiserror::Error;
 
+use crate::ByteBudget;
+
 const CHANNEL_FRAMES: usize = 64;
 /// Bytes that are still read and dropped of a body that is too long.
 const DISCARD_BYTES: usize = 64 * 1024 * 1024;
 
+/// Bytes of each body that count against no budget: small ones are read whatever others
+/// hold.
+pub const UNBUDGETED_BYTES: usize = 64 * 1024;
+/// Part of its length by which a buffer grows beyond what it needs.
+const GROWTH_DIVISOR: usize = 8;
+
 /// The error of a [`Body`] whose sender was dropped before the end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("the body was cut short")]
@@ -156,6 +164,20 @@
     Truncated(String),
 }
 
+/// An error that occurs when a body cannot be read within a budget.
+#[derive(Debug, Error)]
+pub enum ReadWithinError {
+    /// The body is too long or ended early.
+    #[error(transparent)]
+    Body(#[from] ReadBodyError),
+    /// Other bodies that are read at the same time hold too much.
+    #[error("no memory is left for more than {held} bytes of the body")]
+    NoMemory {
+        /// Bytes of it that were read.
+        held: usize,
+    },
+}
+
 /// Reads a body of at most `limit` bytes.
 ///
 /// # Errors
@@ -187,6 +209,50 @@
     Ok(buf.freeze())
 }
 
+/// Reads a body of at most `limit` bytes, of which all but the first
+/// [`UNBUDGETED_BYTES`] count against `budget` until it is read. Reads no further than
+/// it has to: the caller closes the connection.
+///
+/// # Errors
+///
+/// Returns an error when the body is longer, ends early, or exceeds what the budget has
+/// left.
+pub async fn read_within<B>(
+    mut body: B,
+    limit: usize,
+    budget: &ByteBudget,
+) -> Result<Bytes, ReadWithinError>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    if body.size_hint().lower() > limit as u64 {
+        return Err(ReadBodyError::TooLarge { limit }.into());
+    }
+    let mut share = budget.share();
+    let mut buf = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| ReadBodyError::Truncated(e.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let needed = buf.len() + data.len();
+        if needed > limit {
+            return Err(ReadBodyError::TooLarge { limit }.into());
+        }
+        if needed > buf.capacity() {
+            // Doubling would hold up to twice of what is counted.
+            let capacity = needed + needed / GROWTH_DIVISOR;
+            if !share.raise_to(capacity.saturating_sub(UNBUDGETED_BYTES)) {
+                return Err(ReadWithinError::NoMemory { held: buf.len() });
+            }
+            buf.reserve_exact(capacity - buf.len());
+        }
+        buf.extend_from_slice(&data);
+    }
+    Ok(Bytes::from(buf))
+}
+
 /// Reads and drops up to [`DISCARD_BYTES`] more: a client whose connection is
 /// closed while it still sends may never read the answer.
 async fn discard<B>(mut body: B)
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 //! handler to [`serve`] and interpret the answers of [`HttpClient`] themselves.
 
 mod body;
+mod byte_budget;
 mod client;
 mod exec;
 mod framing;
@@ -20,7 +21,11 @@
 pub use body::BodyError;
 pub use body::BodySender;
 pub use body::ReadBodyError;
+pub use body::ReadWithinError;
 pub use body::read_limited;
+pub use body::read_within;
+pub use byte_budget::ByteBudget;
+pub use byte_budget::ByteShare;
 pub use client::Call;
 pub use client::Connection;
 pub use client::Exchange;
