Part the guards from the state, and the logs of streams from their forwarding

WorkGuard, InFlight and QueuePosition move to guards.rs, StreamEnd and the log lines of streams to stream_log.rs, unchanged but for visibility and doc comments.

--- /dev/null
+++ b/crates/gateway/src/guards.rs
@@ -0,0 +1,117 @@
+//! Entries of the control state that last as long as what they stand for.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use briarhall_policy::load_tracker::Work;
+use briarhall_policy::load_tracker::WorkKey;
+use briarhall_policy::prompt_queue::QueuedPrompt;
+use briarhall_policy::prompt_queue::QueuedPromptKey;
+
+use crate::state::Shared;
+use crate::state::State;
+
+/// Keeps work in the load tracker until this is dropped.
+#[derive(Debug)]
+pub struct WorkGuard {
+    shared: Arc<Shared>,
+    first: WorkKey,
+    helpers: Vec<WorkKey>,
+}
+
+impl WorkGuard {
+    /// Adds work to the load tracker.
+    pub fn new(shared: &Arc<Shared>, state: &mut State, first: Work, helpers: &[Work]) -> Self {
+        let now = Instant::now();
+        let helpers = helpers
+            .iter()
+            .map(|work| state.load_tracker.sent(*work, now));
+        let helpers = helpers.collect();
+        let first = state.load_tracker.sent(first, now);
+        shared.request_heartbeat();
+        Self {
+            shared: Arc::clone(shared),
+            first,
+            helpers,
+        }
+    }
+
+    /// Records that the prompt was prefilled, which ends the helpers' work.
+    pub fn prefilled(&mut self) {
+        let mut state = self.shared.state();
+        state.load_tracker.prefilled(self.first);
+        for helper in self.helpers.drain(..) {
+            state.load_tracker.ended(helper);
+        }
+        drop(state);
+        self.shared.request_heartbeat();
+    }
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        let mut state = self.shared.state();
+        state.load_tracker.ended(self.first);
+        for helper in &self.helpers {
+            state.load_tracker.ended(*helper);
+        }
+        drop(state);
+        self.shared.request_heartbeat();
+    }
+}
+
+/// Counts a client's request until it is answered in full.
+#[derive(Debug)]
+pub struct InFlight {
+    shared: Arc<Shared>,
+}
+
+impl InFlight {
+    /// Counts a request.
+    pub fn new(shared: &Arc<Shared>) -> Self {
+        shared.state().in_flight += 1;
+        Self {
+            shared: Arc::clone(shared),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shared.state().in_flight -= 1;
+    }
+}
+
+/// Keeps a prompt in the queue until this is dropped.
+#[derive(Debug)]
+pub struct QueuePosition {
+    shared: Arc<Shared>,
+    key: QueuedPromptKey,
+}
+
+impl QueuePosition {
+    /// Adds a prompt to the queue.
+    pub fn new(shared: &Arc<Shared>, queued_prompt: QueuedPrompt) -> Self {
+        let key = shared
+            .state()
+            .prompt_queue
+            .join(queued_prompt, Instant::now());
+        shared.request_heartbeat();
+        Self {
+            shared: Arc::clone(shared),
+            key,
+        }
+    }
+
+    /// Returns whether no other prompt comes before this one.
+    pub fn is_first(&self, state: &State, now: Instant) -> bool {
+        state.prompt_queue.ahead_of(self.key, now) == 0
+    }
+}
+
+impl Drop for QueuePosition {
+    fn drop(&mut self) {
+        self.shared.state().prompt_queue.leave(self.key);
+        self.shared.request_heartbeat();
+    }
+}
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -21,7 +21,7 @@
 use hyper::Method;
 use hyper::Uri;
 
-use crate::state::InFlight;
+use crate::guards::InFlight;
 use crate::wire::PromptPartId;
 use crate::wire::RequestHead;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod error;
 mod follow;
 mod gossip;
+mod guards;
 mod headers;
 pub mod heartbeat;
 mod job;
@@ -34,6 +35,7 @@
 mod stop;
 mod store_check;
 mod stream;
+mod stream_log;
 mod wire;
 
 pub use briarhall_policy::policies::Policy;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -30,13 +30,13 @@
 use crate::candidates::first_work;
 use crate::candidates::part_work;
 use crate::candidates::unseen_placements;
+use crate::guards::QueuePosition;
+use crate::guards::WorkGuard;
 use crate::job::Job;
 use crate::job::TYPICAL_PREFILL_ENGINES;
 use crate::request_error::RequestError;
 use crate::reservation::EngineCalls;
 use crate::reservation::Reservation;
-use crate::state::QueuePosition;
-use crate::state::WorkGuard;
 use crate::wire::Helper;
 use crate::wire::Wire;
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -44,6 +44,9 @@
 use crate::replica_stream::is_event_stream;
 use crate::request_error::RequestError;
 use crate::sse::Event;
+use crate::stream_log::StreamEnd;
+use crate::stream_log::log_break;
+use crate::stream_log::log_end;
 use crate::wire::Wire;
 
 /// Shortest silence that counts as a failure: the longest pass of an engine
@@ -237,24 +240,6 @@
     rest_bytes: usize,
 }
 
-enum StreamEnd {
-    Complete,
-    ClientLeft,
-    DeadlineExceeded,
-    Broken,
-}
-
-impl StreamEnd {
-    fn as_str(&self) -> &'static str {
-        match self {
-            Self::Complete => "complete",
-            Self::ClientLeft => "client_left",
-            Self::DeadlineExceeded => "time_over",
-            Self::Broken => "broken",
-        }
-    }
-}
-
 impl<W> StreamForwarder<W>
 where
     W: Wire,
@@ -479,34 +464,3 @@
         StreamItem::Event(_) | StreamItem::End(_) => SendOutcome::Answered,
     }
 }
-
-fn log_break(job: &Job, replica: &str, next: &StreamItem, framing: Framing, events: u64) {
-    let reason = match next {
-        StreamItem::Broken(reason) => reason.as_str(),
-        _ => "silent",
-    };
-    log::info!(
-        event = "stream_broken",
-        request = job.head.id.as_str(),
-        replica,
-        reason,
-        framing = framing.as_str(),
-        events,
-        shared_parts = job.shared_parts().join(",").as_str(),
-        after_ms = elapsed_ms(job.arrived);
-        "stream broken"
-    );
-}
-
-fn log_end(job: &Job, outcome: &str, status: u16, events: u64, attempts: &Attempts) {
-    log::info!(
-        event = "ended",
-        request = job.head.id.as_str(),
-        outcome,
-        status,
-        events,
-        sends = attempts.may_have_run + attempts.refused,
-        total_ms = elapsed_ms(job.arrived);
-        "request ended"
-    );
-}
