Refuse a waiting request once its part is blocked

What callers saw: a request with a part that crashes engines, waiting for a place when the part was blocked, was held until its wait was over, or sent to the next engine that came free. A long prompt may wait for most of its time.

Cause: whether a request crashes replicas was asked once, before it waited.

Evidence: a_request_that_waits_is_refused_once_its_part_is_blocked fails before (held for its whole wait of 592 ms and refused as 'no replica takes work', without crashing_part in the log) and passes now.

Change: asked anew at each attempt to place it, as pauses already are. Without crashes this costs one look at an empty list.

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -101,10 +101,8 @@
         attempts: &Attempts,
         generated: u64,
     ) -> Result<Placement<W>, RequestError> {
-        if let Some(wait) = self.crashes_replicas(job) {
-            return Err(attempts.final_error().with_retry_after(wait));
-        }
-        if let Some(wait) = self.pause_to_wait_out(job, attempts) {
+        let refused = self.crashes_replicas(job);
+        if let Some(wait) = refused.or_else(|| self.pause_to_wait_out(job, attempts)) {
             return Err(attempts.final_error().with_retry_after(wait));
         }
         if attempts.any() && !self.spend_retry_budget(job) {
@@ -126,7 +124,9 @@
                 log_no_place(job, "the gateway ends too soon");
                 return Err(attempts.final_error());
             }
-            if let Some(wait) = self.pause_to_wait_out(job, attempts) {
+            // What has been learnt while the job waits.
+            let refused = self.crashes_replicas(job);
+            if let Some(wait) = refused.or_else(|| self.pause_to_wait_out(job, attempts)) {
                 return Err(attempts.final_error().with_retry_after(wait));
             }
             let reason = match self.try_place(job, attempts, generated, queue_position.as_ref()) {
