Digest a waiting request's body once

Cause: since a job that waits for a place asks at each attempt, every 8 ms, whether it crashes replicas. While any crash is remembered that digests its whole body, which for a prompt of a million tokens is some 4 MB each time. Found by reading the diff; not measured.

Change: the digest is kept with the job. No decision changes; crashes::* pass.

--- a/crates/gateway/src/client_request.rs
+++ b/crates/gateway/src/client_request.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Instant;
 
 use briarhall_net::Body;
@@ -162,6 +163,7 @@
             organisation,
             arrived,
             deadline,
+            known_fingerprint: OnceLock::new(),
             _in_flight: in_flight,
         };
         if job.route.kind == RouteKind::Streaming {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,6 +1,7 @@
 //! An admitted client request: what it carries, its deadline and its urgency.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -78,6 +79,8 @@
     pub arrived: Instant,
     /// When the client's time limit or the route's ends, whichever is first.
     pub deadline: Instant,
+    /// Its [`fingerprint`](Job::fingerprint), once it was asked for.
+    pub known_fingerprint: OnceLock<Fingerprint>,
     /// Counts the request, so that a stopping process waits for it.
     pub _in_flight: InFlight,
 }
@@ -135,9 +138,16 @@
     }
 
     /// Returns a digest of what stays the same when the caller retries: caller,
-    /// method, path and body.
+    /// method, path and body. A long body is read once, however often a job that waits
+    /// is checked.
     #[must_use]
     pub fn fingerprint(&self) -> Fingerprint {
+        *self
+            .known_fingerprint
+            .get_or_init(|| self.compute_fingerprint())
+    }
+
+    fn compute_fingerprint(&self) -> Fingerprint {
         let caller = self.organisation.as_ref().map_or("", |o| o.name.as_str());
         let path = self.uri.path_and_query().map_or("", |path| path.as_str());
         let parts = [caller, self.method.as_str(), path].map(str::as_bytes);
