Name the simulated fleet by what it is

Words only, in a test file: the fleet's name was that of a customer's business, and two comments did not say what they describe. crashing_parts.rs passes, 16 tests.

--- a/crates/policy/tests/crashing_parts.rs
+++ b/crates/policy/tests/crashing_parts.rs
@@ -28,7 +28,7 @@
 const STEP: Duration = Duration::from_millis(10);
 /// Time in which gateways have to notice a change.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
-/// Crashes under one part from which few requests with it may reach engines.
+/// Crashes under one part after which few requests with it may still reach engines.
 const CRASHES: usize = 5;
 /// Requests with such a part that may still reach engines.
 const MAX_SENDS_AFTER: usize = 3;
@@ -49,8 +49,8 @@
     heard_after: Duration,
 }
 
-/// Load of the recruiters' fleet, with a crashing part in a sixth of the short questions.
-const RECRUITERS: Load = Load {
+/// A small fleet with a crashing part in a sixth of its requests.
+const SMALL_FLEET: Load = Load {
     gateways: 9,
     engines: 14,
     sound_per_s: 28.0,
@@ -117,7 +117,8 @@
     gateways: Vec<CrashingParts>,
     engines: Vec<Vec<Sent>>,
     up_at: Vec<Instant>,
-    /// Crashes that are not yet known, and observations that are under way.
+    /// Crashes that are not yet known: when they will be, the engine, the request and when
+    /// it broke off.
     unconfirmed: Vec<(Instant, u32, Sent, Instant)>,
     outcome: Outcome,
 }
@@ -288,20 +289,20 @@
 
 loads! {
     /// Guards against engines that crash one after the other under one part of many prompts.
-    a_part_in_a_sixth_of_the_questions_is_found(60): RECRUITERS,
+    a_part_in_a_sixth_of_the_questions_is_found(60): SMALL_FLEET,
     /// Guards against the same where the part comes rarely, so that much else crashes beside it.
-    a_rare_part_is_found(60): Load { poison_per_s: 0.7, ..RECRUITERS },
+    a_rare_part_is_found(60): Load { poison_per_s: 0.7, ..SMALL_FLEET },
     /// Guards against the same where all engines crash at once.
-    a_part_in_most_questions_is_found(60): Load { poison_per_s: 60.0, ..RECRUITERS },
+    a_part_in_most_questions_is_found(60): Load { poison_per_s: 60.0, ..SMALL_FLEET },
     /// Guards against refusing what sound requests share with the part, where they are rare.
-    a_part_among_few_sound_requests_is_found(60): Load { sound_per_s: 3.0, documents: 4, ..RECRUITERS },
+    a_part_among_few_sound_requests_is_found(60): Load { sound_per_s: 3.0, documents: 4, ..SMALL_FLEET },
     /// Guards against the same in a fleet of many gateways, each of which sees little.
     a_part_at_many_gateways_is_found(3): Load {
         gateways: 95, engines: 172, sound_per_s: 234.0, documents: 300, poison_per_s: 30.0,
-        heard_after: Duration::from_millis(300), ..RECRUITERS
+        heard_after: Duration::from_millis(300), ..SMALL_FLEET
     },
     /// Guards against taking engines that crash on their own for the work of a part.
-    a_part_is_found_while_engines_crash_on_their_own(60): Load { crashes_per_s: 0.5, ..RECRUITERS },
+    a_part_is_found_while_engines_crash_on_their_own(60): Load { crashes_per_s: 0.5, ..SMALL_FLEET },
 }
 
 /// Guards against a part that comes too rarely for three crashes in a minute, and takes an
@@ -310,7 +311,7 @@
 fn a_part_that_comes_every_half_minute_is_found() {
     let load = Load {
         poison_per_s: 1.0 / 25.0,
-        ..RECRUITERS
+        ..SMALL_FLEET
     };
     check_load_for(Duration::from_mins(8), load, 8);
 }
@@ -321,7 +322,7 @@
     let load = Load {
         poison_per_s: 0.0,
         crashes_per_s: 2.0,
-        ..RECRUITERS
+        ..SMALL_FLEET
     };
     for seed in 0..60 {
         let outcome = Fleet::new(load, seed).run(Duration::from_secs(25));
