Policy: evacuated availability zones

Operators of the second customer evacuate zones by objects in the store. Nothing in the policies knew of them.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod departures;
 pub mod detours;
 pub mod engine;
+pub mod evacuations;
 pub mod fleet;
 pub mod gang;
 pub mod health;
