Gateway: take the state out of the import cycle

state.rs imported start.rs for one function, and start.rs imports every task, so that each new task joined the cycle around the state. The function is in a file of its own now, and state.rs imports only that and the settings. No behaviour changes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod replica_watch;
 mod request_error;
 mod reservation;
+mod session_limits;
 mod settings;
 pub mod sse;
 mod start;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -15,7 +15,6 @@
 use briarhall_net::Logging;
 use briarhall_net::MetricsService;
 use briarhall_net::ServerOptions;
-use briarhall_net::SessionLimits;
 use briarhall_net::Sessions;
 use briarhall_net::bind;
 use briarhall_net::serve;
@@ -36,6 +35,7 @@
 use crate::relay::RelayService;
 use crate::replica_watch;
 use crate::replica_watch::FollowedReplicas;
+use crate::session_limits::session_limits;
 use crate::settings::Settings;
 use crate::state::Shared;
 use crate::stop::stop;
@@ -163,15 +163,6 @@
     Ok(())
 }
 
-/// Returns the limits that a configuration sets on client connections.
-pub fn session_limits(limits: ClientLimits) -> SessionLimits {
-    SessionLimits {
-        max_header_bytes: limits.max_header_bytes,
-        header_timeout: limits.header_timeout,
-        idle_timeout: limits.idle_timeout,
-    }
-}
-
 fn serve_on<H>(
     executor: &Executor,
     field: &'static str,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -41,8 +41,8 @@
 use briarhall_types::StoreEra;
 use briarhall_types::StorePosition;
 
+use crate::session_limits::session_limits;
 use crate::settings::Settings;
-use crate::start::session_limits;
 
 /// Number of gateways that are assumed to share a retry budget even when fewer
 /// are known: a gateway that is cut off must not spend the others' share.
