Gateway, platform: nothing is sent to replicas in evacuated zones

Operators evacuate a zone by an object of kind evacuations; gateways went on sending there.

Where the settings have the bound evac_ms, the list is a third followed kind. Heartbeats carry it whole, and each change goes to all gateways at once, so that a gateway whose watch is late and one that restarts while the store is down hear it. A gateway that does not know the list is not ready and serves nothing. Evacuated replicas are no candidates; a placement is checked again right before its send; checks of this gateway's links draw from other zones. When all replicas of a service are evacuated, requests are refused at once with the time for which the evacuation is expected to last. Names alone are decoded, so that no content of an object hides the others. Without the bound no task is started and heartbeats hold one byte that says so.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -127,6 +127,9 @@
         attempts: &mut Attempts,
     ) -> SendResult {
         let id = &placement.replica.id;
+        if self.is_evacuated(job, placement) {
+            return SendResult::NotRun;
+        }
         attempts.tried.push(id.clone());
         if let Some(detour) = placement.detour {
             let sent =
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -75,8 +75,8 @@
     }
 }
 
-/// Returns the replicas of the job's service that work for this gateway, without those
-/// that were tried if there are others.
+/// Returns the replicas of the job's service that work for this gateway, without those in
+/// evacuated zones, and without those that were tried if there are others.
 pub fn candidates(
     state: &State,
     job: &Job,
@@ -86,8 +86,7 @@
 ) -> Vec<Candidate<ReplicaId>> {
     let loads = state.load_tracker.loads(now);
     let limits = LimitsInForce::new(state, &settings.vm, now);
-    let of_service = state.replicas.usable();
-    let of_service = of_service.filter(|record| record.service == job.service);
+    let of_service = state.available(&job.service);
     let of_service = of_service.filter(|record| !state.pauses.is_paused(&record.id, now));
     let candidate = |record: &ReplicaRecord| Candidate {
         key: record.id.clone(),
--- a/crates/gateway/src/client_request.rs
+++ b/crates/gateway/src/client_request.rs
@@ -243,6 +243,9 @@
             .as_ref()
             .ok_or(RequestError::NotReady)?;
         let table = Arc::clone(&current.table);
+        if !state.evacuations.is_known() {
+            return Err(RequestError::EvacuationsUnknown);
+        }
         drop(state);
         let route = table.find(&head.host, path).ok_or(RequestError::NoRoute)?;
         let route = Arc::clone(route);
--- a/crates/gateway/src/control_plane.rs
+++ b/crates/gateway/src/control_plane.rs
@@ -1,13 +1,15 @@
-//! Reads of the platform's store: the configuration and the registry of
-//! replicas.
+//! Reads of the platform's store: the configuration, the registry of replicas and the
+//! evacuated availability zones.
 
 use std::time::Duration;
 
 use briarhall_objects::PlatformError;
+use briarhall_policy::evacuations::EvacuationChange;
 use briarhall_types::Configuration;
 use briarhall_types::ReplicaChange;
 use briarhall_types::ReplicaEntry;
 use briarhall_types::StorePosition;
+use briarhall_types::ZoneName;
 
 /// The configuration at one position of the store.
 #[derive(Debug, Clone)]
@@ -45,6 +47,24 @@
     pub changes: Vec<ReplicaChange>,
 }
 
+/// The evacuated zones at one position of the store.
+#[derive(Debug, Clone)]
+pub struct EvacuationSnapshot {
+    /// Position of the listing, from which a watch continues.
+    pub position: StorePosition,
+    /// All zones.
+    pub zones: Vec<ZoneName>,
+}
+
+/// What changed among the evacuated zones.
+#[derive(Debug, Clone)]
+pub struct EvacuationChanges {
+    /// Position up to which the changes are complete.
+    pub position: StorePosition,
+    /// The changes, oldest first.
+    pub changes: Vec<EvacuationChange>,
+}
+
 /// Reads of the platform's store.
 pub trait ControlPlane: Clone + Send + Sync + 'static {
     /// Reads the current configuration.
@@ -70,6 +90,17 @@
         wait: Duration,
     ) -> impl Future<Output = Result<ReplicaChanges, PlatformError>> + Send;
 
+    /// Reads the complete current list of evacuated zones.
+    fn evacuations(&self)
+    -> impl Future<Output = Result<EvacuationSnapshot, PlatformError>> + Send;
+
+    /// Waits for changes of the evacuated zones after `since`, no longer than `wait`.
+    fn watch_evacuations(
+        &self,
+        since: StorePosition,
+        wait: Duration,
+    ) -> impl Future<Output = Result<EvacuationChanges, PlatformError>> + Send;
+
     /// Checks that the store answers within `limit`, by a call that does not wait for
     /// a change.
     fn check(&self, limit: Duration) -> impl Future<Output = Result<(), PlatformError>> + Send;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -22,6 +22,7 @@
 use briarhall_policy::replica_limits::REPEAT_INTERVAL;
 use futures_lite::future;
 
+use crate::evacuation_watch;
 use crate::heartbeat::Heartbeat;
 use crate::state::Shared;
 use crate::state::State;
@@ -63,6 +64,9 @@
     stopping: bool,
     places_requests: bool,
     cut_off: bool,
+    /// Evacuations that began or ended: also gateways that place no requests now may
+    /// get one at any moment.
+    evacuation_changes: u64,
 }
 
 /// Decides which gateways a round of heartbeats goes to.
@@ -135,6 +139,7 @@
             stopping: presence.stopping,
             places_requests: presence.places_requests,
             cut_off: presence.cut_off,
+            evacuation_changes: state.evacuations.changes(),
         };
         let due = self
             .all_sent_at
@@ -167,6 +172,7 @@
             leaving: state.replicas.own_leaving(),
             limits: state.replica_limits.own_observations(now),
             limited_sends: state.replica_limits.own_sends(now),
+            evacuations: state.evacuations.report(now),
             known,
         };
         drop(state);
@@ -270,6 +276,7 @@
         leaving,
         limits,
         limited_sends,
+        evacuations,
         known,
     } = heartbeat;
     if presence.vm == shared.settings.vm && presence.incarnation == shared.incarnation {
@@ -314,7 +321,9 @@
         .filter_map(|replica| state.replicas.record_leaving(replica, HeardBy::Peer));
     let events = events.collect::<Vec<_>>();
     state.record_replica_events(&events, "peer");
+    let evacuated = evacuations.map(|report| state.evacuations.apply_report(&report, now));
     drop(state);
+    evacuation_watch::record(shared, &evacuated.unwrap_or_default(), "peer");
     if matches!(update, PeerUpdate::Up | PeerUpdate::Changed) {
         log::info!(event = "peer", peer = vm.as_str(), ready, stopping, up = true; "peer is up or has changed");
         if update == PeerUpdate::Up {
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -6,6 +6,7 @@
 use briarhall_policy::crashes::Observation;
 use briarhall_policy::crashing_parts::PartObservation;
 use briarhall_policy::departures::ReplicaProcess;
+use briarhall_policy::evacuations::EvacuationReport;
 use briarhall_policy::health::FailedRequests;
 use briarhall_policy::load_tracker::Work;
 use briarhall_policy::peers::Presence;
@@ -47,6 +48,9 @@
     pub limits: Vec<LimitObservation>,
     /// What the sender sent to replicas with a limit.
     pub limited_sends: Vec<LimitedSends>,
+    /// Evacuated availability zones; absent where the sender does not follow or know
+    /// them. Never cut: they bind every request, and are few.
+    pub evacuations: Option<EvacuationReport>,
     /// Gossip addresses of gateways that the sender knows.
     pub known: Vec<SocketAddr>,
 }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -111,6 +111,7 @@
     ) -> Result<Placement<W>, RequestError> {
         let mut limit_wait_ends = None;
         let refused = self.crashes_replicas(job);
+        let refused = refused.or_else(|| self.all_evacuated(job, attempts));
         let unavailable = || self.time_to_wait_out(job, attempts, &mut limit_wait_ends);
         if let Some(wait) = refused.or_else(unavailable) {
             return Err(attempts.final_error().with_retry_after(wait));
@@ -142,6 +143,7 @@
                 return Ok(detour);
             }
             let refused = self.crashes_replicas(job);
+            let refused = refused.or_else(|| self.all_evacuated(job, attempts));
             let unavailable = || self.time_to_wait_out(job, attempts, &mut limit_wait_ends);
             if let Some(wait) = refused.or_else(unavailable) {
                 return Err(attempts.final_error().with_retry_after(wait));
--- a/crates/gateway/src/reach_check.rs
+++ b/crates/gateway/src/reach_check.rs
@@ -82,7 +82,9 @@
 
 fn drawn(shared: &Shared, except: Option<SocketAddr>) -> Vec<SocketAddr> {
     let state = shared.state();
-    let others = state.replicas.usable().map(|record| record.address);
+    let others = state.replicas.usable();
+    let others = others.filter(|record| !state.evacuations.is_evacuated(&record.zone));
+    let others = others.map(|record| record.address);
     let others = others.filter(|address| Some(*address) != except);
     reach::checked(others, &mut rand::rng())
 }
--- a/crates/gateway/src/refusals.rs
+++ b/crates/gateway/src/refusals.rs
@@ -116,8 +116,7 @@
         let now = Instant::now();
         let mut state = self.shared.state();
         let limits = LimitsInForce::new(&state, &self.shared.settings.vm, now);
-        let replicas = state.replicas.usable();
-        let replicas = replicas.filter(|record| record.service == job.service);
+        let replicas = state.available(&job.service);
         let ids = replicas.map(|record| &record.id).collect::<Vec<_>>();
         if let Some(pause) = state.pauses.shortest(ids.iter().copied(), now) {
             drop(state);
@@ -199,8 +198,7 @@
             return None;
         }
         let state = self.shared.state();
-        let engines = state.replicas.usable();
-        let engines = engines.filter(|record| record.service == job.service);
+        let engines = state.available(&job.service);
         #[expect(
             clippy::cast_precision_loss,
             reason = "counts of replicas are far below 2^52"
--- a/crates/gateway/src/request_error.rs
+++ b/crates/gateway/src/request_error.rs
@@ -31,6 +31,9 @@
     /// No configuration is known yet.
     #[error("no configuration is known yet")]
     NotReady,
+    /// It is not known yet which availability zones are evacuated.
+    #[error("it is not known yet which availability zones are evacuated")]
+    EvacuationsUnknown,
     /// No route has this host and path.
     #[error("no route has this host and path")]
     NoRoute,
@@ -75,7 +78,7 @@
             Self::Head(_) => "bad_head",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyIncomplete => "body_cut",
-            Self::NotReady => "not_ready",
+            Self::NotReady | Self::EvacuationsUnknown => "not_ready",
             Self::NoRoute => "no_route",
             Self::Unauthorised => "unauthorised",
             Self::NotRun { .. } => "not_run",
@@ -91,9 +94,10 @@
         match self {
             Self::Head(_) | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NotReady | Self::NotRun { .. } | Self::CutOff { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::EvacuationsUnknown
+            | Self::NotRun { .. }
+            | Self::CutOff { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthorised => StatusCode::UNAUTHORIZED,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
@@ -110,7 +114,7 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         let retry_after = match self {
             Self::NotRun { retry_after } | Self::CutOff { retry_after } => Some(*retry_after),
-            Self::NotReady => Some(DEFAULT_RETRY_AFTER),
+            Self::NotReady | Self::EvacuationsUnknown => Some(DEFAULT_RETRY_AFTER),
             _ => None,
         };
         // Rounded up: a caller that comes back too early is refused again.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,9 @@
     pub grace: Duration,
     /// Time in which changes in the store must be in force.
     pub in_force_within: Duration,
+    /// Time in which an evacuation of an availability zone must be in force; none are
+    /// followed without it.
+    pub evacuated_within: Option<Duration>,
     /// Shortest time between two reads of a series of changes in the store.
     pub min_watch_interval: Duration,
     /// Limit on retries.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -28,6 +28,8 @@
 use crate::crash_check;
 use crate::directory::Directory;
 use crate::error::StartError;
+use crate::evacuation_watch;
+use crate::evacuation_watch::FollowedEvacuations;
 use crate::follow::follow;
 use crate::gossip;
 use crate::reach_check;
@@ -94,6 +96,14 @@
     };
     let interval = settings.min_watch_interval;
     executor.detach(follow(configuration, interval, store_check.returns()));
+    if settings.evacuated_within.is_some() {
+        let evacuations = FollowedEvacuations {
+            shared: Arc::clone(&shared),
+            plane: plane.clone(),
+        };
+        executor.detach(follow(evacuations, interval, store_check.returns()));
+        executor.detach(evacuation_watch::expire(Arc::clone(&shared)));
+    }
     let replicas = FollowedReplicas {
         shared: Arc::clone(&shared),
         plane,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
 use briarhall_policy::crashes::Crashes;
 use briarhall_policy::crashing_parts::CrashingParts;
 use briarhall_policy::crashing_parts::replica_digest;
+use briarhall_policy::evacuations::Evacuations;
 use briarhall_policy::health::Health;
 use briarhall_policy::health::SendOutcome;
 use briarhall_policy::load_tracker::LoadTracker;
@@ -80,6 +81,8 @@
     pub replicas: Replicas,
     /// Whether the registry was read since the process started.
     pub registry_known: bool,
+    /// Availability zones to whose replicas nothing may be sent.
+    pub evacuations: Evacuations,
     /// Health of replicas, by the outcomes of sends.
     pub health: Health,
     /// Health of gateways that send on requests, by the outcomes of detours.
@@ -167,6 +170,7 @@
             current_configuration: None,
             replicas: Replicas::default(),
             registry_known: false,
+            evacuations: Evacuations::new(settings.evacuated_within.is_some()),
             health: Health::default(),
             peer_health: Health::default(),
             reach: Reach::default(),
@@ -365,7 +369,8 @@
     /// Returns whether requests can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.current_configuration.is_some() && self.registry_known && !self.stopping
+        let known = self.registry_known && self.evacuations.is_known();
+        self.current_configuration.is_some() && known && !self.stopping
     }
 
     /// Logs changes of replicas, and clears the health records of those that
--- a/crates/gateway/tests/heartbeat.rs
+++ b/crates/gateway/tests/heartbeat.rs
@@ -15,6 +15,9 @@
 use briarhall_policy::crashing_parts::PartOutcome;
 use briarhall_policy::departures::HeardBy;
 use briarhall_policy::departures::ReplicaProcess;
+use briarhall_policy::evacuations::EvacuationReport;
+use briarhall_policy::evacuations::Evacuations;
+use briarhall_policy::evacuations::RetainedZone;
 use briarhall_policy::health::FailedRequests;
 use briarhall_policy::health::Health;
 use briarhall_policy::load_tracker::LoadTracker;
@@ -123,6 +126,17 @@
             };
             3
         ],
+        evacuations: Some(EvacuationReport {
+            position: StorePosition {
+                era: 1,
+                revision: 90,
+            },
+            zones: vec!["a".into(), "b".into()],
+            retained: vec![RetainedZone {
+                zone: "c".into(),
+                left_ms: 3_000,
+            }],
+        }),
         known: vec![address(4), address(5)],
     }
 }
@@ -238,6 +252,7 @@
         leaving,
         limits,
         limited_sends,
+        evacuations,
         known,
     } = heartbeat;
     let vm = presence.vm.clone();
@@ -269,6 +284,16 @@
     replica_limits.apply_observations(&limits, now);
     replica_limits.set_peer_sends(incarnation, &limited_sends, now);
     let later = now + Duration::from_millis(5);
+    let mut evacuated = Evacuations::new(true);
+    if let Some(report) = &evacuations {
+        evacuated.apply_report(report, now);
+    }
+    evacuated.expire(later);
+    let longest = Duration::from_secs(5);
+    for zone in evacuations.iter().flat_map(|report| &report.zones) {
+        let left = evacuated.expected_left(zone, longest, later);
+        assert!(left.is_none_or(|left| left <= longest), "{left:?}");
+    }
     for limit in &limits {
         let left = replica_limits.time_left(limit.replica, 0.5, later, || MAX_TURN);
         let bound = Duration::from_secs(11);
