--- a/crates/policy/src/evacuations.rs
+++ b/crates/policy/src/evacuations.rs
@@ -248,7 +248,7 @@
     /// Returns the list for other gateways, unless it is not known or too long.
     #[must_use]
     pub fn report(&self, now: Instant) -> Option<EvacuationReport> {
-        let bytes = self.in_force.keys().map(|zone| zone.len()).sum::<usize>();
+        let bytes = self.in_force.keys().map(ZoneName::len).sum::<usize>();
         let fits = self.in_force.len() <= MAX_REPORTED && bytes <= MAX_REPORTED_BYTES;
         if !self.enabled || !self.known || !fits {
             return None;
--- a/crates/policy/tests/evacuations.rs
+++ b/crates/policy/tests/evacuations.rs
@@ -32,8 +32,9 @@
     Restore { lost: u8 },
     /// A gateway reads a list, which may be an older one.
     Read { gateway: u8, age: u8 },
-    /// A gateway's watch delivers the changes since a revision some changes ago.
-    Watch { gateway: u8, overlap: u8 },
+    /// A gateway's watch delivers the changes since a revision some changes ago, up to
+    /// one that may be an older one as well.
+    Watch { gateway: u8, overlap: u8, age: u8 },
     /// A gateway hears what another one reports now.
     Hear { gateway: u8, from: u8 },
     /// A gateway restarts.
@@ -87,9 +88,9 @@
         let era = self.position.era;
         let first = self.first(era).revision;
         let revision = self.position.revision.saturating_sub(lost).max(first);
-        let list = self.lists[&at(era, revision)].clone();
+        let copy = self.lists[&at(era, revision)].clone();
         self.position = at(era + 1, revision);
-        self.lists.insert(self.position, list);
+        self.lists.insert(self.position, copy);
     }
 
     /// Returns the first position of an era.
@@ -162,13 +163,20 @@
                         .apply_listing(list.iter().cloned(), *position, now);
                     told.tell(*position, before, now);
                 }
-                Op::Watch { gateway, overlap } => {
+                Op::Watch {
+                    gateway,
+                    overlap,
+                    age,
+                } => {
                     let told = &mut gateways[index(gateway)];
                     let Some(known) = told.position.filter(|p| p.era == store.position.era) else {
                         continue;
                     };
                     let since = at(known.era, known.revision.saturating_sub(overlap.into()));
-                    let changes = store.changes.range(since..);
+                    let latest = store.position.revision;
+                    let until = at(known.era, latest.saturating_sub(u64::from(age % 4)));
+                    let until = until.max(since);
+                    let changes = store.changes.range(since..=until);
                     let changes = changes.filter(|(position, _)| **position > since);
                     let changes = changes.map(|(position, (zone, removed))| EvacuationChange {
                         zone: zone.clone(),
@@ -176,8 +184,8 @@
                         removed: *removed,
                     });
                     told.list
-                        .apply_changes(changes.collect::<Vec<_>>(), store.position, now);
-                    told.tell(store.position, BTreeSet::new(), now);
+                        .apply_changes(changes.collect::<Vec<_>>(), until, now);
+                    told.tell(until, BTreeSet::new(), now);
                 }
                 Op::Hear { gateway, from } => {
                     let Some(report) = gateways[index(from)].list.report(now) else {
@@ -283,16 +291,16 @@
     assert_eq!(list.ended_at("a"), None);
     let first = now + Duration::from_secs(10);
     let events = list.apply_changes([change("a", at(0, 6), true)], at(0, 6), first);
-    assert!(matches!(&events[..], [event] if event.zone == "a" && !event.began));
+    assert!(matches!(&*events, [event] if event.zone == "a" && !event.began));
     assert_eq!(list.ended_at("a"), Some(first));
     let again = first + Duration::from_secs(2);
     let events = list.apply_changes([change("a", at(0, 7), false)], at(0, 7), again);
-    assert!(matches!(&events[..], [event] if event.zone == "a" && event.began));
+    assert!(matches!(&*events, [event] if event.zone == "a" && event.began));
     assert_eq!(list.ended_at("a"), None);
-    let last = again + Duration::from_secs(1);
-    list.apply_listing([], at(0, 8), last);
-    assert_eq!(list.ended_at("a"), Some(last));
-    list.expire(last + Duration::from_hours(1));
+    let second = again + Duration::from_secs(1);
+    list.apply_listing([], at(0, 8), second);
+    assert_eq!(list.ended_at("a"), Some(second));
+    list.expire(second + Duration::from_hours(1));
     assert_eq!(list.ended_at("a"), None, "ends are not remembered for ever");
 }
 
@@ -421,6 +429,6 @@
     let restored = began + Duration::from_mins(1);
     list.apply_listing([], at(1, 4), restored);
     let now = restored + Duration::from_secs(4);
-    let left = list.expected_left("a", Duration::from_secs(60), now);
+    let left = list.expected_left("a", Duration::from_mins(1), now);
     assert_eq!(left, Some(Duration::from_secs(1)));
 }
