--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -15,7 +15,6 @@
 use briarhall_net::Logging;
 use briarhall_net::MetricsService;
 use briarhall_net::ServerOptions;
-use briarhall_net::SessionLimits;
 use briarhall_net::Sessions;
 use briarhall_net::bind;
 use briarhall_net::serve;
@@ -29,6 +28,8 @@
 use crate::crash_check;
 use crate::directory::Directory;
 use crate::error::StartError;
+use crate::evacuation_watch;
+use crate::evacuation_watch::FollowedEvacuations;
 use crate::follow::follow;
 use crate::gossip;
 use crate::reach_check;
@@ -36,6 +37,7 @@
 use crate::relay::RelayService;
 use crate::replica_watch;
 use crate::replica_watch::FollowedReplicas;
+use crate::session_limits::session_limits;
 use crate::settings::Settings;
 use crate::state::Shared;
 use crate::stop::stop;
@@ -94,6 +96,14 @@
     };
     let interval = settings.min_watch_interval;
     executor.detach(follow(configuration, interval, store_check.returns()));
+    if settings.evacuated_within.is_some() {
+        let evacuations = FollowedEvacuations {
+            shared: Arc::clone(&shared),
+            plane: plane.clone(),
+        };
+        executor.detach(follow(evacuations, interval, store_check.returns()));
+        executor.detach(evacuation_watch::expire(Arc::clone(&shared)));
+    }
     let replicas = FollowedReplicas {
         shared: Arc::clone(&shared),
         plane,
@@ -163,15 +173,6 @@
     Ok(())
 }
 
-/// Returns the limits that a configuration sets on client connections.
-pub fn session_limits(limits: ClientLimits) -> SessionLimits {
-    SessionLimits {
-        max_header_bytes: limits.max_header_bytes,
-        header_timeout: limits.header_timeout,
-        idle_timeout: limits.idle_timeout,
-    }
-}
-
 fn serve_on<H>(
     executor: &Executor,
     field: &'static str,
