Policy: which gateways read the store

Every gateway watches two lists and checks the store, though in a deployment of 86 only the dozen that the directory names place requests. The new policy decides for one gateway, from its heartbeats, whether it reads the store or stands by: above 48 gateways, where it is not advertised, has heard four advertised gateways in the last second that the store answered recently, and was not paused. Only advertised readers count, as those that read because of a fault would else stand by and begin again in turns.

--- a/crates/policy/src/advertised.rs
+++ b/crates/policy/src/advertised.rs
@@ -24,7 +24,7 @@
 const TARGET_UTILIZATION_PERCENT: u64 = 25;
 /// Fewest gateways that are advertised, if there are as many: the loss of one
 /// must not be the loss of a large part.
-const MIN_ADVERTISED: usize = 12;
+pub const MIN_ADVERTISED: usize = 12;
 /// Fewest gateways of each availability zone.
 const MIN_PER_ZONE: usize = 2;
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod routes;
 pub mod share_allocator;
 pub mod store_checks;
+pub mod store_readers;
 pub mod suspects;
 pub mod watch_pace;
 pub mod window_budget;
