Gateway: those that stand by do not call the store

All gateways of a large deployment watched and checked the store. The gate is in `follow`, so that it holds for every followed kind. Heartbeats carry whether the sender reads the store, whether it is advertised and how old the store's last answer is. A gateway that stands by, or that the store has not answered for long, reads what is newer from a peer without the grace for its own watch.

`--all-read-up-to` sets the number of gateways up to which all read the store, for tests and for operators who want the calls of before.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,6 +11,7 @@
 use futures_lite::future;
 
 use crate::store_check::StoreReturns;
+use crate::store_gate::StoreGate;
 
 /// Longest wait of one watch call; TCP keepalive probes detect a broken
 /// connection well before.
@@ -60,9 +61,14 @@
 
 /// Keeps an object or list in sync for the life of the process. Changes that come
 /// in series are read no more often than each `min_interval`. What was called before
-/// the store returns from an outage may never be answered, so it is called anew.
-pub async fn follow<F>(followed: F, min_interval: Duration, store_returns: StoreReturns)
-where
+/// the store returns from an outage may never be answered, so it is called anew. While
+/// the gate is closed nothing is called, and afterwards it is read completely.
+pub async fn follow<F>(
+    followed: F,
+    min_interval: Duration,
+    store_returns: StoreReturns,
+    gate: StoreGate,
+) where
     F: Followed,
 {
     let mut position = None;
@@ -70,6 +76,14 @@
     let max_backoff = min_interval.max(MIN_LONGEST_BACKOFF);
     let mut backoff = INITIAL_BACKOFF;
     loop {
+        if !gate.is_open() {
+            gate.opened().await;
+            position = None;
+            backoff = INITIAL_BACKOFF;
+            // It is read anew in any case.
+            let _returned = store_returns.try_recv();
+        }
+        gate.record_call();
         let called_at = Instant::now();
         let call = async {
             Some(match position {
@@ -78,7 +92,7 @@
             })
         };
         let abandoned = async {
-            returned(&store_returns).await;
+            future::or(returned(&store_returns), gate.closed()).await;
             None
         };
         let read = future::or(call, abandoned).await;
@@ -86,6 +100,7 @@
         let after_ms = u64::try_from(called_at.elapsed().as_millis()).unwrap_or(u64::MAX);
         match read {
             Some(Ok(at)) => {
+                gate.record_answer();
                 // Only a watch resets the delay: a read that succeeds does not
                 // show that a watch can begin.
                 if position.is_some() {
@@ -105,8 +120,11 @@
             Some(Err(e)) => {
                 let error = e.to_string();
                 log::info!(event = "store_failed", what = F::NAME, call, after_ms, error = error.as_str(); "store call failed; retrying");
-                followed.on_unavailable();
+                if gate.is_open() {
+                    followed.on_unavailable();
+                }
             }
+            None if !gate.is_open() => continue,
             None => {
                 log::info!(event = "call_abandoned", what = F::NAME, call, after_ms; "the store has returned from an outage; reading again");
                 position = None;
@@ -121,7 +139,7 @@
             (backoff * 2).min(max_backoff)
         };
         let at_once = async {
-            returned(&store_returns).await;
+            future::or(returned(&store_returns), gate.closed()).await;
             INITIAL_BACKOFF
         };
         backoff = future::or(delay, at_once).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,11 +39,13 @@
 mod state;
 mod stop;
 mod store_check;
+mod store_gate;
 mod stream;
 mod stream_log;
 mod wire;
 
 pub use briarhall_policy::policies::Policy;
+pub use briarhall_policy::store_readers::ALL_READ_UP_TO;
 pub use briarhall_policy::window_budget::BudgetBound;
 pub use control_plane::ConfigurationChange;
 pub use control_plane::ConfigurationSnapshot;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,7 +3,7 @@
 //! The store may refuse one VM and serve the others, and a watch may have gone
 //! silent. Heartbeats carry the positions that other gateways have; a gateway
 //! that stays behind for longer than its own watch may take asks one that is
-//! ahead.
+//! ahead. One that does not read the store asks at once.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -107,12 +107,15 @@
 /// Reads newer objects from other gateways when this gateway's own watch does
 /// not deliver them.
 pub async fn catch_up(shared: Arc<Shared>, client: HttpClient) {
-    let grace = shared.settings.min_watch_interval + OWN_WATCH_GRACE;
+    let grace = own_grace(&shared);
     let mut configuration = PeerReads::new(grace);
     let mut replicas = PeerReads::new(grace);
     loop {
         Timer::after(CHECK_INTERVAL).await;
         let now = Instant::now();
+        let grace = own_grace(&shared);
+        configuration.set_grace(grace);
+        replicas.set_grace(grace);
         let PeersAhead {
             configuration_from,
             replicas_from,
@@ -138,6 +141,16 @@
     }
 }
 
+/// Returns the time that this gateway's own watch has to deliver a change.
+fn own_grace(shared: &Shared) -> Duration {
+    let now = Instant::now();
+    if shared.state().store_readers.expects_changes(now) {
+        shared.settings.min_watch_interval + OWN_WATCH_GRACE
+    } else {
+        Duration::ZERO
+    }
+}
+
 /// Relay addresses of gateways that have newer objects than this one.
 struct PeersAhead {
     configuration_from: Option<SocketAddr>,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,6 +40,8 @@
     pub in_force_within: Duration,
     /// Shortest time between two reads of a series of changes in the store.
     pub min_watch_interval: Duration,
+    /// Most gateways of a deployment in which each of them reads the store.
+    pub all_read_up_to: usize,
     /// Limit on retries.
     pub budget: BudgetBound,
     /// Placement policy for engines.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -40,6 +40,7 @@
 use crate::state::Shared;
 use crate::stop::stop;
 use crate::store_check::StoreCheck;
+use crate::store_gate::StoreGates;
 use crate::wire::Wire;
 
 /// Runs a gateway until it receives a stop signal.
@@ -88,18 +89,22 @@
     ));
     executor.detach(gossip::remove_down_peers(Arc::clone(&shared)));
     let mut store_check = StoreCheck::new(Arc::clone(&shared), plane.clone());
+    let mut gates = StoreGates::new(Arc::clone(&shared));
     let configuration = FollowedConfiguration {
         shared: Arc::clone(&shared),
         plane: plane.clone(),
     };
     let interval = settings.min_watch_interval;
-    executor.detach(follow(configuration, interval, store_check.returns()));
+    let returns = store_check.returns();
+    executor.detach(follow(configuration, interval, returns, gates.gate()));
     let replicas = FollowedReplicas {
         shared: Arc::clone(&shared),
         plane,
     };
-    executor.detach(follow(replicas, interval, store_check.returns()));
-    executor.detach(store_check.run());
+    let returns = store_check.returns();
+    executor.detach(follow(replicas, interval, returns, gates.gate()));
+    executor.detach(store_check.run(gates.gate()));
+    executor.detach(gates.run());
     executor.detach(replica_watch::expire(Arc::clone(&shared)));
     executor.detach(relay::catch_up(Arc::clone(&shared), client.clone()));
     executor.detach(crash_check::run(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -34,6 +34,7 @@
 use briarhall_policy::replicas::Replicas;
 use briarhall_policy::request_rate::RequestRate;
 use briarhall_policy::routes::RouteTable;
+use briarhall_policy::store_readers::StoreReaders;
 use briarhall_policy::window_budget::WindowBudget;
 use briarhall_types::Configuration;
 use briarhall_types::ReplicaId;
@@ -100,6 +101,8 @@
     pub prompt_queue: PromptQueue,
     /// Other gateways.
     pub peers: Peers,
+    /// Whether this gateway reads the store.
+    pub store_readers: StoreReaders,
     /// Client requests that arrive at this gateway.
     pub request_rate: RequestRate,
     /// Whether the directory names this gateway to clients, as of its last
@@ -177,6 +180,7 @@
             load_tracker: LoadTracker::default(),
             prompt_queue: PromptQueue::default(),
             peers: Peers::default(),
+            store_readers: StoreReaders::new(settings.all_read_up_to, settings.in_force_within),
             request_rate: RequestRate::default(),
             advertised: false,
             stopping: false,
@@ -357,6 +361,7 @@
             cut_off: state.reach.is_cut_off(),
             configuration: state.held_configuration(),
             replicas: state.replicas.position(),
+            store: state.store_readers.report(state.advertised, now),
         }
     }
 }
--- a/crates/gateway/src/store_check.rs
+++ b/crates/gateway/src/store_check.rs
@@ -13,6 +13,7 @@
 
 use crate::control_plane::ControlPlane;
 use crate::state::Shared;
+use crate::store_gate::StoreGate;
 
 /// Receives a message each time that the store answers again.
 pub type StoreReturns = Receiver<()>;
@@ -45,15 +46,22 @@
         rx
     }
 
-    /// Runs the checks.
-    pub async fn run(self) {
+    /// Runs the checks while the gate is open.
+    pub async fn run(self, gate: StoreGate) {
         let mut checks = StoreChecks::new(self.shared.settings.in_force_within);
         loop {
+            if !gate.is_open() {
+                gate.opened().await;
+                checks = StoreChecks::new(self.shared.settings.in_force_within);
+            }
+            gate.record_call();
             let made_at = Instant::now();
             let answer = self.plane.check(checks.limit()).await;
             let now = Instant::now();
             let change = checks.record(answer.is_ok(), made_at, now);
-            if answer.is_err() {
+            if answer.is_ok() {
+                gate.record_answer();
+            } else if gate.is_open() {
                 self.shared.state().replicas.registry_unavailable(made_at);
             }
             match change {
--- a/crates/gateway/tests/heartbeat.rs
+++ b/crates/gateway/tests/heartbeat.rs
@@ -31,6 +31,7 @@
 use briarhall_policy::replica_limits::MAX_TURN;
 use briarhall_policy::replica_limits::ReplicaLimits;
 use briarhall_policy::replicas::Replicas;
+use briarhall_policy::store_readers::StoreReading;
 use briarhall_types::StorePosition;
 
 fn address(n: u8) -> SocketAddr {
@@ -93,6 +94,10 @@
                 era: 1,
                 revision: 500,
             },
+            store: Some(StoreReading {
+                advertised: true,
+                answer_age_ms: Some(400),
+            }),
         },
         interval_ms: 300,
         in_flight: vec![work; 3],
--- a/crates/policy/src/peer_reads.rs
+++ b/crates/policy/src/peer_reads.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// Sets the time that this gateway's own watch has: none while it does not watch.
+    pub fn set_grace(&mut self, grace: Duration) {
+        self.grace = grace;
+    }
+
     /// Returns whether to read now, if this gateway is behind another one.
     pub fn due(&mut self, is_behind: bool, now: Instant) -> bool {
         if !is_behind {
--- a/crates/policy/src/peers.rs
+++ b/crates/policy/src/peers.rs
@@ -14,6 +14,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::store_readers::ReaderReport;
+use crate::store_readers::StoreReading;
+
 /// Shortest time between two heartbeats to the same gateway when nothing
 /// changes.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
@@ -94,6 +97,8 @@
     pub configuration: HeldConfiguration,
     /// Position of its list of replicas.
     pub replicas: StorePosition,
+    /// What it reports of the store, if it reads it.
+    pub store: Option<StoreReading>,
 }
 
 #[derive(Debug, Clone)]
@@ -209,6 +214,18 @@
         up.map(|peer| &peer.presence)
     }
 
+    /// Returns the last reports of gateways that read the store and can serve requests,
+    /// also of those that are down.
+    pub fn store_readers(&self) -> impl Iterator<Item = ReaderReport> {
+        let ready = self.peers.values().filter(|peer| peer.presence.ready);
+        ready.filter_map(|peer| {
+            Some(ReaderReport {
+                heard_at: peer.last_heartbeat,
+                reading: peer.presence.store?,
+            })
+        })
+    }
+
     /// Returns the gateways that accept clients.
     pub fn serving(&self, now: Instant) -> impl Iterator<Item = &Presence> {
         self.up(now).filter(|p| p.ready && !p.stopping)
--- a/crates/policy/tests/advertised.rs
+++ b/crates/policy/tests/advertised.rs
@@ -33,6 +33,7 @@
         cut_off: false,
         configuration: HeldConfiguration::default(),
         replicas: StorePosition::default(),
+        store: None,
     }
 }
 
--- a/crates/policy/tests/peers.rs
+++ b/crates/policy/tests/peers.rs
@@ -49,6 +49,7 @@
         cut_off: false,
         configuration: held(sequence, 0, sequence),
         replicas: at(0, sequence),
+        store: None,
     }
 }
 
--- a/crates/policy/tests/reach.rs
+++ b/crates/policy/tests/reach.rs
@@ -113,6 +113,7 @@
         cut_off: false,
         configuration: HeldConfiguration::default(),
         replicas: StorePosition::default(),
+        store: None,
     }
 }
 
