Relay: pause between reads of a series of changes

A gateway that stands by reads the whole list of replicas whenever a peer is ahead, without the grace of before. In a series of changes readers have each one at another moment, so it could read ten lists a second. Reads that bring something new are now 0.3 s apart there; the first after a calm time is made at once. Gateways that wait for their own watch read as before.

`peer_reads.rs` shows one read each 0.3 s and none held back otherwise: 7 passed.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -42,6 +42,10 @@
 /// Time for this gateway's own watch to deliver what another gateway already
 /// has, beyond the pause between two reads of a series of changes.
 const OWN_WATCH_GRACE: Duration = Duration::from_millis(200);
+/// Shortest time between two reads of a series of changes by a gateway that does not wait
+/// for its own watch. Those that it reads from have each change at another moment, and
+/// without a pause it would read the whole list from each of them.
+const SERIES_INTERVAL: Duration = Duration::from_millis(300);
 /// Time limit for one read from another gateway.
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -107,15 +111,19 @@
 /// Reads newer objects from other gateways when this gateway's own watch does
 /// not deliver them.
 pub async fn catch_up(shared: Arc<Shared>, client: HttpClient) {
-    let grace = own_grace(&shared);
-    let mut configuration = PeerReads::new(grace);
-    let mut replicas = PeerReads::new(grace);
+    let mut configuration = PeerReads::new(own_watch_grace(&shared));
+    let mut replicas = configuration;
     loop {
         Timer::after(CHECK_INTERVAL).await;
         let now = Instant::now();
-        let grace = own_grace(&shared);
-        configuration.set_grace(grace);
-        replicas.set_grace(grace);
+        let waits = shared.state().store_readers.expects_changes(now);
+        let (grace, series_interval) = if waits {
+            (own_watch_grace(&shared), Duration::ZERO)
+        } else {
+            (Duration::ZERO, SERIES_INTERVAL)
+        };
+        configuration.set_pace(grace, series_interval);
+        replicas.set_pace(grace, series_interval);
         let PeersAhead {
             configuration_from,
             replicas_from,
@@ -142,13 +150,8 @@
 }
 
 /// Returns the time that this gateway's own watch has to deliver a change.
-fn own_grace(shared: &Shared) -> Duration {
-    let now = Instant::now();
-    if shared.state().store_readers.expects_changes(now) {
-        shared.settings.min_watch_interval + OWN_WATCH_GRACE
-    } else {
-        Duration::ZERO
-    }
+fn own_watch_grace(shared: &Shared) -> Duration {
+    shared.settings.min_watch_interval + OWN_WATCH_GRACE
 }
 
 /// Relay addresses of gateways that have newer objects than this one.
--- a/crates/policy/src/peer_reads.rs
+++ b/crates/policy/src/peer_reads.rs
@@ -18,6 +18,10 @@
 #[derive(Debug, Clone, Copy)]
 pub struct PeerReads {
     grace: Duration,
+    /// Shortest time between two reads that bring something new.
+    series_interval: Duration,
+    /// When the next read of a series of changes may begin.
+    series_next: Option<Instant>,
     behind_since: Option<Instant>,
     interval: Duration,
     next: Option<Instant>,
@@ -30,32 +34,40 @@
     pub fn new(grace: Duration) -> Self {
         Self {
             grace,
+            series_interval: Duration::ZERO,
+            series_next: None,
             behind_since: None,
             interval: MIN_INTERVAL,
             next: None,
         }
     }
 
-    /// Sets the time that this gateway's own watch has: none while it does not watch.
-    pub fn set_grace(&mut self, grace: Duration) {
+    /// Sets the time that this gateway's own watch has, and the shortest time between two
+    /// reads of a series of changes.
+    pub fn set_pace(&mut self, grace: Duration, series_interval: Duration) {
         self.grace = grace;
+        self.series_interval = series_interval;
     }
 
     /// Returns whether to read now, if this gateway is behind another one.
     pub fn due(&mut self, is_behind: bool, now: Instant) -> bool {
         if !is_behind {
-            *self = Self::new(self.grace);
+            self.behind_since = None;
+            self.interval = MIN_INTERVAL;
+            self.next = None;
             return false;
         }
         let since = *self.behind_since.get_or_insert(now);
         let grace_over = now.saturating_duration_since(since) >= self.grace;
-        grace_over && self.next.is_none_or(|next| now >= next)
+        let is_due = |at: Option<Instant>| at.is_none_or(|at| now >= at);
+        grace_over && is_due(self.next) && is_due(self.series_next)
     }
 
     /// Records the end of a read, and whether it brought something new.
     pub fn record(&mut self, is_new: bool, now: Instant) {
         if is_new {
             self.interval = MIN_INTERVAL;
+            self.series_next = Some(now + self.series_interval);
         }
         self.next = Some(now + self.interval);
         self.interval = (self.interval * 2).min(MAX_INTERVAL);
--- a/crates/policy/tests/peer_reads.rs
+++ b/crates/policy/tests/peer_reads.rs
@@ -95,3 +95,30 @@
     pace.due(true, later);
     assert!(pace.due(true, later + GRACE));
 }
+
+/// Load: the replicas of a service are replaced one after the other, and the gateways that
+/// read the store have each change at another moment. Guards against a gateway that
+/// stands by and reads the whole list at each of them, and against one that waits with the
+/// first change after a calm time.
+#[test]
+fn a_gateway_that_stands_by_reads_a_series_of_changes_at_intervals() {
+    const SERIES_INTERVAL: Duration = Duration::from_millis(300);
+    let began = Instant::now();
+    let mut pace = PeerReads::new(GRACE);
+    pace.set_pace(Duration::ZERO, SERIES_INTERVAL);
+    let mut reads = 0;
+    for step in 0..30 {
+        let now = began + STEP * step;
+        if pace.due(true, now) {
+            pace.record(true, now);
+            reads += 1;
+            assert!(!pace.due(false, now), "it has caught up");
+        }
+    }
+    assert_eq!(reads, 10, "one each 300 ms");
+    let later = began + IN_FORCE * 2;
+    assert!(pace.due(true, later));
+    // A read that fails does not count as one of the series.
+    pace.record(false, later);
+    assert!(pace.due(true, later + STEP));
+}
