Policy: an outage of the store counts from the last answer for any cause but a pause

A gateway that the directory names in the first second of an outage began to read without word of when the store had last answered, and could have taken the outage for too short for entries to lapse. The last answer of a reader now goes with every cause but a pause: after one it says nothing about the store, and entries removed meanwhile would be kept for 2 s.

New cases: a gateway that is named in an outage, and in `replicas.rs` an outage that counts from a peer's last answer, and a gateway that the registry turned away and that stands by again.

--- a/crates/policy/src/store_readers.rs
+++ b/crates/policy/src/store_readers.rs
@@ -206,7 +206,9 @@
                 if self.has_stood_by {
                     self.required_at = Some(now);
                 }
-                let silent_since = last_answer.filter(|_| cause == ReadCause::FewReaders);
+                // After a pause the last answer that was heard of says nothing about the
+                // store, and entries that were removed meanwhile must not be kept.
+                let silent_since = last_answer.filter(|_| cause != ReadCause::Paused);
                 let begins = !std::mem::replace(&mut self.reads, true);
                 begins.then_some(ReaderChange::Reads {
                     cause,
--- a/crates/policy/tests/replicas.rs
+++ b/crates/policy/tests/replicas.rs
@@ -408,6 +408,46 @@
     assert!(!replicas.takes_work("i-1"));
 }
 
+/// Guards against a gateway that begins to read the registry in an outage, takes it for
+/// too short for entries to lapse, and drops running replicas.
+#[test]
+fn an_outage_counts_from_the_last_answer_that_a_peer_had() {
+    let now = Instant::now();
+    let mut replicas = Replicas::default();
+    let entries = vec![entry("i-1", 5, false, 100)];
+    replicas.apply_relayed(entries, &[], at(5), now);
+    // Its own first call fails later; the last answer of a peer was before.
+    replicas.registry_unavailable(now);
+    replicas.registry_unavailable(now + MIN_LAPSE_OUTAGE / 2);
+    let back = now + MIN_LAPSE_OUTAGE;
+    replicas.registry_available(back);
+    replicas.apply_listing(Vec::new(), at(8), back);
+    assert!(replicas.takes_work("i-1"), "it may be renewed");
+    replicas.expire(back + RENEWAL_TIME);
+    assert!(!replicas.takes_work("i-1"));
+}
+
+/// Guards against a gateway that the registry turned away before it stood by: an entry
+/// that a peer reports as lapsed much later must expire, and one that is removed must go
+/// at once.
+#[test]
+fn a_gateway_that_stands_by_again_keeps_no_outage() {
+    let now = Instant::now();
+    let mut replicas = Replicas::default();
+    let entries = ["i-1", "i-2"].map(|id| entry(id, 5, false, 100)).to_vec();
+    replicas.apply_listing(entries.clone(), at(5), now);
+    replicas.registry_unavailable(now);
+    replicas.registry_available(now + MIN_LAPSE_OUTAGE * 4);
+    let later = now + MIN_LAPSE_OUTAGE * 8;
+    replicas.expire(later);
+    replicas.apply_relayed(entries, &["i-1".into()], at(8), later);
+    assert!(replicas.takes_work("i-1"), "it may be renewed");
+    replicas.expire(later + RENEWAL_TIME);
+    assert!(!replicas.takes_work("i-1"));
+    replicas.apply_listing(Vec::new(), at(9), later + RENEWAL_TIME);
+    assert!(!replicas.takes_work("i-2"), "no outage is known");
+}
+
 /// Guards against a process that said that it leaves and gets work as soon as it is
 /// listed again, or never again.
 #[test]
--- a/crates/policy/tests/store_readers.rs
+++ b/crates/policy/tests/store_readers.rs
@@ -267,6 +267,22 @@
     assert_eq!(site.reading(), ADVERTISED);
 }
 
+/// Failure: the directory names a gateway just when an outage has begun. Guards against
+/// one that takes the outage for shorter than it was.
+fn a_gateway_that_is_named_in_an_outage_knows_when_it_began() {
+    let mut site = Site::settled();
+    site.answers = |_| false;
+    let began = site.start + site.at;
+    site.run(MAX_HEARD_AGE / 2);
+    site.gateways[ADVERTISED].advertised = true;
+    site.run(STEP);
+    let change = site.gateways[ADVERTISED].changes.last();
+    let Some((_, ReaderChange::Reads { silent_since, .. })) = change else {
+        panic!("{change:?}");
+    };
+    assert!(silent_since.is_some_and(|since| since <= began));
+}
+
 /// Failure: a process is paused for some seconds, and then receives heartbeats that have
 /// waited in its socket. Guards against trust in what they say.
 fn a_paused_process_reads_at_once() {
@@ -286,10 +302,11 @@
     site.gateways[paused].up = true;
     site.run(STEP);
     let last = site.gateways[paused].changes.last();
-    let Some((_, ReaderChange::Reads { cause, .. })) = last else {
-        panic!("{last:?}");
+    let expected = ReaderChange::Reads {
+        cause: ReadCause::Paused,
+        silent_since: None,
     };
-    assert_eq!(*cause, ReadCause::Paused);
+    assert_eq!(last.map(|(_, change)| *change), Some(expected));
     site.run(MIN_READING - STEP * 2);
     assert!(site.gateways[paused].readers.reads());
     site.run(SETTLING);
@@ -468,6 +485,7 @@
     the_store_turns_the_readers_away,
     the_store_turns_some_readers_away,
     an_outage_of_the_store_counts_from_the_last_answer,
+    a_gateway_that_is_named_in_an_outage_knows_when_it_began,
     a_paused_process_reads_at_once,
     a_reader_that_the_store_turns_away_waits_for_no_watch,
     the_advertised_set_changes,
