--- a/crates/policy/src/store_readers.rs
+++ b/crates/policy/src/store_readers.rs
@@ -201,29 +201,25 @@
         } else {
             None
         };
-        match cause {
-            Some(cause) => {
-                if self.has_stood_by {
-                    self.required_at = Some(now);
-                }
-                // After a pause the last answer that was heard of says nothing about the
-                // store, and entries that were removed meanwhile must not be kept.
-                let silent_since = last_answer.filter(|_| cause != ReadCause::Paused);
-                let begins = !std::mem::replace(&mut self.reads, true);
-                begins.then_some(ReaderChange::Reads {
-                    cause,
-                    silent_since,
-                })
-            }
-            None => {
-                let goes_on = self.required_at.is_some_and(|at| !is_old(at, MIN_READING));
-                if !self.reads || goes_on {
-                    return None;
-                }
-                self.reads = false;
-                self.has_stood_by = true;
-                Some(ReaderChange::StandsBy)
+        if let Some(cause) = cause {
+            if self.has_stood_by {
+                self.required_at = Some(now);
             }
+            // After a pause the last answer that was heard of says nothing about the
+            // store, and entries that were removed meanwhile must not be kept.
+            let silent_since = last_answer.filter(|_| cause != ReadCause::Paused);
+            let begins = !std::mem::replace(&mut self.reads, true);
+            return begins.then_some(ReaderChange::Reads {
+                cause,
+                silent_since,
+            });
+        }
+        let goes_on = self.required_at.is_some_and(|at| !is_old(at, MIN_READING));
+        if !self.reads || goes_on {
+            return None;
         }
+        self.reads = false;
+        self.has_stood_by = true;
+        Some(ReaderChange::StandsBy)
     }
 }
--- a/crates/policy/tests/store_readers.rs
+++ b/crates/policy/tests/store_readers.rs
@@ -307,7 +307,7 @@
         silent_since: None,
     };
     assert_eq!(last.map(|(_, change)| *change), Some(expected));
-    site.run(MIN_READING - STEP * 2);
+    site.run(MIN_READING.saturating_sub(STEP * 2));
     assert!(site.gateways[paused].readers.reads());
     site.run(SETTLING);
     assert!(!site.gateways[paused].readers.reads());
