--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,7 +3,7 @@
 //! The store may refuse one VM and serve the others, and a watch may have gone
 //! silent. Heartbeats carry the positions that other gateways have; a gateway
 //! that stays behind for longer than its own watch may take asks one that is
-//! ahead.
+//! ahead. One that does not read the store asks at once.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -42,6 +42,10 @@
 /// Time for this gateway's own watch to deliver what another gateway already
 /// has, beyond the pause between two reads of a series of changes.
 const OWN_WATCH_GRACE: Duration = Duration::from_millis(200);
+/// Shortest time between two reads of a series of changes by a gateway that does not wait
+/// for its own watch. Those that it reads from have each change at another moment, and
+/// without a pause it would read the whole list from each of them.
+const SERIES_INTERVAL: Duration = Duration::from_millis(300);
 /// Time limit for one read from another gateway.
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -107,12 +111,19 @@
 /// Reads newer objects from other gateways when this gateway's own watch does
 /// not deliver them.
 pub async fn catch_up(shared: Arc<Shared>, client: HttpClient) {
-    let grace = shared.settings.min_watch_interval + OWN_WATCH_GRACE;
-    let mut configuration = PeerReads::new(grace);
-    let mut replicas = PeerReads::new(grace);
+    let mut configuration = PeerReads::new(own_watch_grace(&shared));
+    let mut replicas = configuration;
     loop {
         Timer::after(CHECK_INTERVAL).await;
         let now = Instant::now();
+        let waits = shared.state().store_readers.expects_changes(now);
+        let (grace, series_interval) = if waits {
+            (own_watch_grace(&shared), Duration::ZERO)
+        } else {
+            (Duration::ZERO, SERIES_INTERVAL)
+        };
+        configuration.set_pace(grace, series_interval);
+        replicas.set_pace(grace, series_interval);
         let PeersAhead {
             configuration_from,
             replicas_from,
@@ -138,6 +149,11 @@
     }
 }
 
+/// Returns the time that this gateway's own watch has to deliver a change.
+fn own_watch_grace(shared: &Shared) -> Duration {
+    shared.settings.min_watch_interval + OWN_WATCH_GRACE
+}
+
 /// Relay addresses of gateways that have newer objects than this one.
 struct PeersAhead {
     configuration_from: Option<SocketAddr>,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -42,6 +42,7 @@
 use crate::state::Shared;
 use crate::stop::stop;
 use crate::store_check::StoreCheck;
+use crate::store_gate::StoreGates;
 use crate::wire::Wire;
 
 /// Runs a gateway until it receives a stop signal.
@@ -89,27 +90,7 @@
         requests.heartbeats,
     ));
     executor.detach(gossip::remove_down_peers(Arc::clone(&shared)));
-    let mut store_check = StoreCheck::new(Arc::clone(&shared), plane.clone());
-    let configuration = FollowedConfiguration {
-        shared: Arc::clone(&shared),
-        plane: plane.clone(),
-    };
-    let interval = settings.min_watch_interval;
-    executor.detach(follow(configuration, interval, store_check.returns()));
-    if settings.evacuated_within.is_some() {
-        let evacuations = FollowedEvacuations {
-            shared: Arc::clone(&shared),
-            plane: plane.clone(),
-        };
-        executor.detach(follow(evacuations, interval, store_check.returns()));
-        executor.detach(evacuation_watch::expire(Arc::clone(&shared)));
-    }
-    let replicas = FollowedReplicas {
-        shared: Arc::clone(&shared),
-        plane,
-    };
-    executor.detach(follow(replicas, interval, store_check.returns()));
-    executor.detach(store_check.run());
+    keep_in_sync(&shared, &plane, &executor);
     executor.detach(replica_watch::expire(Arc::clone(&shared)));
     executor.detach(relay::catch_up(Arc::clone(&shared), client.clone()));
     executor.detach(crash_check::run(
@@ -173,6 +154,40 @@
     Ok(())
 }
 
+/// Starts the tasks that read the store.
+fn keep_in_sync<C>(shared: &Arc<Shared>, plane: &C, executor: &Executor)
+where
+    C: ControlPlane,
+{
+    let settings = &shared.settings;
+    let mut store_check = StoreCheck::new(Arc::clone(shared), plane.clone());
+    let mut gates = StoreGates::new(Arc::clone(shared));
+    let configuration = FollowedConfiguration {
+        shared: Arc::clone(shared),
+        plane: plane.clone(),
+    };
+    let interval = settings.min_watch_interval;
+    let returns = store_check.returns();
+    executor.detach(follow(configuration, interval, returns, gates.gate()));
+    if settings.evacuated_within.is_some() {
+        let evacuations = FollowedEvacuations {
+            shared: Arc::clone(shared),
+            plane: plane.clone(),
+        };
+        let returns = store_check.returns();
+        executor.detach(follow(evacuations, interval, returns, gates.gate()));
+        executor.detach(evacuation_watch::expire(Arc::clone(shared)));
+    }
+    let replicas = FollowedReplicas {
+        shared: Arc::clone(shared),
+        plane: plane.clone(),
+    };
+    let returns = store_check.returns();
+    executor.detach(follow(replicas, interval, returns, gates.gate()));
+    executor.detach(store_check.run(gates.gate()));
+    executor.detach(gates.run());
+}
+
 fn serve_on<H>(
     executor: &Executor,
     field: &'static str,
--- a/crates/gateway/tests/heartbeat.rs
+++ b/crates/gateway/tests/heartbeat.rs
@@ -34,12 +34,46 @@
 use briarhall_policy::replica_limits::MAX_TURN;
 use briarhall_policy::replica_limits::ReplicaLimits;
 use briarhall_policy::replicas::Replicas;
+use briarhall_policy::store_readers::StoreReading;
 use briarhall_types::StorePosition;
 
 fn address(n: u8) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, n], 7_340))
 }
 
+fn presence() -> Presence {
+    Presence {
+        vm: "vm-1".into(),
+        incarnation: 0xdead_beef_0000_0001,
+        sequence: 400,
+        gossip_address: address(1),
+        relay_address: address(2),
+        client_address: address(3),
+        zone: "a".into(),
+        ready: true,
+        stopping: false,
+        millicores: 250,
+        requests_per_s: 5,
+        places_requests: true,
+        cut_off: false,
+        configuration: HeldConfiguration {
+            version: 12,
+            position: StorePosition {
+                era: 1,
+                revision: 80,
+            },
+        },
+        replicas: StorePosition {
+            era: 1,
+            revision: 500,
+        },
+        store: Some(StoreReading {
+            advertised: true,
+            answer_age_ms: Some(400),
+        }),
+    }
+}
+
 fn heartbeat() -> Heartbeat {
     let work = Work {
         replica: 7,
@@ -71,32 +105,7 @@
         age_ms: 900,
     };
     Heartbeat {
-        presence: Presence {
-            vm: "vm-1".into(),
-            incarnation: 0xdead_beef_0000_0001,
-            sequence: 400,
-            gossip_address: address(1),
-            relay_address: address(2),
-            client_address: address(3),
-            zone: "a".into(),
-            ready: true,
-            stopping: false,
-            millicores: 250,
-            requests_per_s: 5,
-            places_requests: true,
-            cut_off: false,
-            configuration: HeldConfiguration {
-                version: 12,
-                position: StorePosition {
-                    era: 1,
-                    revision: 80,
-                },
-            },
-            replicas: StorePosition {
-                era: 1,
-                revision: 500,
-            },
-        },
+        presence: presence(),
         interval_ms: 300,
         in_flight: vec![work; 3],
         queued_prompts: vec![queued_prompt; 2],
