Take a replica for reached only if it answers

What callers see: a gateway whose connections to replicas are accepted by something in between, and then reset or not answered, sends their requests by way of other gateways, as one does whose connections are not accepted.

Cause: an accepted connection counted as proof that a replica is reached. It ended the doubt after a failed send, and the cut itself.

Why it works: a failed send, or one without a head of an answer after 1 s, is followed by health checks of other replicas unless a send on a newer connection was answered. The path is `health_path` of the service, which was not decoded before. An answer to any send during the checks still shows that the links work, so that replicas too busy for health checks are not taken for a cut.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -26,7 +26,8 @@
 use crate::patience::Patience;
 use crate::patience::Silent;
 use crate::place::Placement;
-use crate::reach_check::record_reached;
+use crate::reach_check::await_head;
+use crate::reach_check::record_answered;
 use crate::request_error::DEFAULT_RETRY_AFTER;
 use crate::request_error::RequestError;
 use crate::state::Shared;
@@ -137,6 +138,8 @@
         let req = self.request(job, placement, resume_after);
         let address = placement.replica.address;
         let exchange = self.client.start(address, req, CONNECT_TIMEOUT);
+        let predicted = Duration::from_secs_f64(placement.predicted_ms.max(0.0) / 1_000.0);
+        let exchange = await_head(&self.shared, opened_at, predicted, exchange);
         let limit = patience.limit();
         let exchange = match patience.wait(exchange).await {
             Ok(Ok(exchange)) => exchange,
@@ -150,7 +153,7 @@
             }
         };
         attempts.reached += 1;
-        record_reached(&self.shared, opened_at);
+        record_answered(&self.shared, opened_at);
         let (parts, body) = exchange.reply.into_parts();
         let head = self.wire.reply_head(&parts);
         let process = ReplicaProcess {
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -22,7 +22,6 @@
 
 use crate::attempt::CONNECT_TIMEOUT;
 use crate::reach_check::reaches_another;
-use crate::reach_check::record_reached;
 use crate::state::FailedSend;
 use crate::state::Shared;
 
@@ -60,16 +59,14 @@
 }
 
 async fn check(shared: Arc<Shared>, client: HttpClient, send: FailedSend, address: SocketAddr) {
+    let failed_at = Instant::now();
     let evidence = match send.outcome {
         SendOutcome::Broken => {
             Timer::after(CHECK_DELAY).await;
             shared.metrics.count("crash_check");
-            let began = Instant::now();
             match client.check_listening(address, CONNECT_TIMEOUT).await {
-                Ok(()) => {
-                    record_reached(&shared, began);
-                    return;
-                }
+                // Something in between may have accepted the connection.
+                Ok(()) => None,
                 Err(HttpError::Connect { refused: true, .. }) => Some("refused"),
                 Err(e) => {
                     log::info!(
@@ -85,7 +82,7 @@
         SendOutcome::Unreachable => Some("unreachable"),
         _ => None,
     };
-    let reaches_others = reaches_another(&shared, &client, Some(address)).await;
+    let reaches_others = reaches_another(&shared, &client, Some(address), failed_at).await;
     if let Some(evidence) = evidence
         && reaches_others
     {
--- a/crates/policy/tests/reach.rs
+++ b/crates/policy/tests/reach.rs
@@ -10,6 +10,7 @@
 use briarhall_policy::reach::CHECKED_REPLICAS;
 use briarhall_policy::reach::Reach;
 use briarhall_policy::reach::checked;
+use briarhall_policy::reach::unanswered_limit;
 use briarhall_types::StorePosition;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -170,3 +171,44 @@
     assert!(counts[6..].iter().all(|count| *count > 600), "{counts:?}");
     assert_eq!(by(2.0)[8], 0);
 }
+
+/// Guards against a gateway that takes itself for cut off as its replicas are too busy for
+/// health checks, though answers to its sends arrive.
+#[test]
+fn an_answer_that_arrives_during_a_check_shows_that_the_links_work() {
+    let began = Instant::now();
+    let step = Duration::from_millis(100);
+    let mut reach = Reach::default();
+    reach.answered(began + step);
+    assert!(!reach.none_reached(began));
+    assert!(!reach.is_cut_off());
+    assert!(
+        reach.none_reached(began + 2 * step),
+        "it came before this one"
+    );
+    assert!(reach.is_cut_off());
+}
+
+/// Guards against health checks after each failed send of a gateway whose other sends are
+/// answered, and against an answer on an older connection that hides a cut.
+#[test]
+fn only_a_connection_opened_since_proves_that_a_replica_is_reached() {
+    let failed = Instant::now();
+    let step = Duration::from_millis(1);
+    let mut reach = Reach::default();
+    reach.reached(failed);
+    assert!(reach.has_reached_since(failed));
+    assert!(!reach.has_reached_since(failed + step));
+    reach.reached(failed + step);
+    assert!(reach.has_reached_since(failed + step));
+}
+
+/// Guards against health checks while a long prompt is prefilled as predicted, and against a
+/// prediction that is no time.
+#[test]
+fn a_send_is_suspected_later_the_longer_its_answer_is_predicted_to_take() {
+    assert_eq!(unanswered_limit(Duration::ZERO), Duration::from_secs(1));
+    let predicted = Duration::from_secs(3);
+    assert!(unanswered_limit(predicted) > predicted);
+    assert_eq!(unanswered_limit(Duration::MAX), Duration::MAX);
+}
--- a/crates/types/src/configuration.rs
+++ b/crates/types/src/configuration.rs
@@ -86,6 +86,9 @@
     pub name: ServiceName,
     /// Speed of its engines; absent for a plain service.
     pub engine: Option<EngineSpec>,
+    /// Path of its replicas' health check, if they have one.
+    #[serde(default)]
+    pub health_path: Option<CompactString>,
 }
 
 /// Speed and memory of a model engine, as its operator measured it.
