Confirm what is known after a pause before anything is sent

What callers see: after a pause of its process a gateway refuses keys that were revoked meanwhile and sends nothing to replicas that drain; requests that wait are held until the store is read, 2 s at most.

Cause: after a pause requests in the sockets were served before news of the store was read. Where a watch had expired the old lists were in use for at least the 60 ms until they were read again. Reservations granted in the pause counted as held, though they had ended.

Why it works: a clock that also runs in a suspended VM (CLOCK_BOOTTIME, by rustix, which the workspace has) is looked at before each decision, so the first decision after a pause notices it. The lists count as confirmed only by reads that began after that. Heartbeats that waited in the socket are dropped.

Not covered: a pause while a connection is being opened, and deadlines of requests held in a suspended VM.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -25,6 +25,7 @@
 use crate::outcomes::record_run;
 use crate::patience::Patience;
 use crate::patience::Silent;
+use crate::pause_guard::PauseGuard;
 use crate::place::Placement;
 use crate::reach_check::await_head;
 use crate::reach_check::record_answered;
@@ -111,6 +112,8 @@
     pub executor: Executor,
     /// Control state.
     pub shared: Arc<Shared>,
+    /// Notices pauses of the process.
+    pub pause_guard: PauseGuard,
 }
 
 impl<W> Dispatcher<W>
@@ -128,6 +131,12 @@
         attempts: &mut Attempts,
     ) -> SendResult {
         let id = &placement.replica.id;
+        if self.pause_guard.has_paused_since(placement.placed_at) {
+            // Its replicas may drain by now, and memory reserved for it may be lost.
+            attempts.refused += 1;
+            log_failed_send(job, id, "paused", 0);
+            return SendResult::NotRun;
+        }
         attempts.tried.push(id.clone());
         if let Some(detour) = placement.detour {
             let sent =
--- a/crates/gateway/src/client_request.rs
+++ b/crates/gateway/src/client_request.rs
@@ -165,6 +165,7 @@
         detour: Option<u32>,
     ) -> Result<Response<Body>, RequestError> {
         let in_flight = InFlight::new(&self.dispatcher.shared);
+        self.dispatcher.pause_guard.confirmed().await;
         let Admitted {
             table,
             route,
--- a/crates/gateway/src/config_watch.rs
+++ b/crates/gateway/src/config_watch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use briarhall_objects::PlatformError;
+use briarhall_policy::resumption::List;
 use briarhall_types::StorePosition;
 
 use crate::control_plane::ConfigurationSnapshot;
@@ -26,6 +27,7 @@
     C: ControlPlane,
 {
     const NAME: &'static str = "configuration";
+    const LIST: List = List::Configuration;
 
     async fn read(&self) -> Result<StorePosition, PlatformError> {
         let snapshot = self.plane.configuration().await?;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -6,10 +6,12 @@
 
 use async_io::Timer;
 use briarhall_objects::PlatformError;
+use briarhall_policy::resumption::List;
 use briarhall_policy::watch_pace::WatchPace;
 use briarhall_types::StorePosition;
 use futures_lite::future;
 
+use crate::pause_guard::PauseGuard;
 use crate::store_check::StoreReturns;
 
 /// Longest wait of one watch call; TCP keepalive probes detect a broken
@@ -25,6 +27,8 @@
 pub trait Followed: Send + Sync {
     /// Its name in logs.
     const NAME: &'static str;
+    /// Which list it is.
+    const LIST: List;
 
     /// Reads it completely, and returns the position to watch from.
     fn read(&self) -> impl Future<Output = Result<StorePosition, PlatformError>> + Send;
@@ -61,8 +65,12 @@
 /// Keeps an object or list in sync for the life of the process. Changes that come
 /// in series are read no more often than each `min_interval`. What was called before
 /// the store returns from an outage may never be answered, so it is called anew.
-pub async fn follow<F>(followed: F, min_interval: Duration, store_returns: StoreReturns)
-where
+pub async fn follow<F>(
+    followed: F,
+    min_interval: Duration,
+    store_returns: StoreReturns,
+    pause_guard: PauseGuard,
+) where
     F: Followed,
 {
     let mut position = None;
@@ -82,6 +90,9 @@
             None
         };
         let read = future::or(call, abandoned).await;
+        if let (None, Some(read)) = (position, &read) {
+            pause_guard.record_read(F::LIST, read.is_ok(), called_at);
+        }
         let call = if position.is_some() { "watch" } else { "read" };
         let after_ms = u64::try_from(called_at.elapsed().as_millis()).unwrap_or(u64::MAX);
         match read {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -23,6 +23,7 @@
 use futures_lite::future;
 
 use crate::heartbeat::Heartbeat;
+use crate::pause_guard::PauseGuard;
 use crate::state::Shared;
 use crate::state::State;
 
@@ -237,7 +238,7 @@
 }
 
 /// Receives heartbeats and applies them.
-pub async fn receive(shared: Arc<Shared>, socket: UdpSocket) {
+pub async fn receive(shared: Arc<Shared>, socket: UdpSocket, pause_guard: PauseGuard) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES + 1_024];
     loop {
         let len = match socket.recv_from(&mut buf).await {
@@ -248,6 +249,10 @@
                 continue;
             }
         };
+        // What waited in a pause is no longer so, though it says how old it is.
+        if pause_guard.may_be_backlog() {
+            continue;
+        }
         match Heartbeat::decode(&buf[..len]) {
             Ok(heartbeat) => apply(&shared, heartbeat),
             Err(e) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod limits_in_force;
 mod outcomes;
 mod patience;
+mod pause_guard;
 mod place;
 mod reach_check;
 mod refusals;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -109,6 +109,7 @@
         attempts: &Attempts,
         generated: u64,
     ) -> Result<Placement<W>, RequestError> {
+        self.pause_guard.confirmed().await;
         let mut limit_wait_ends = None;
         let refused = self.crashes_replicas(job);
         let unavailable = || self.time_to_wait_out(job, attempts, &mut limit_wait_ends);
@@ -137,6 +138,7 @@
                 log_no_place(job, "the gateway ends too soon");
                 return Err(attempts.final_error());
             }
+            self.pause_guard.confirmed().await;
             // What has been learnt while the job waits.
             if let Some(detour) = self.place_detour(job, attempts)? {
                 return Ok(detour);
--- a/crates/gateway/src/replica_watch.rs
+++ b/crates/gateway/src/replica_watch.rs
@@ -6,6 +6,7 @@
 
 use async_io::Timer;
 use briarhall_objects::PlatformError;
+use briarhall_policy::resumption::List;
 use briarhall_types::StorePosition;
 
 use crate::control_plane::ControlPlane;
@@ -31,6 +32,7 @@
     C: ControlPlane,
 {
     const NAME: &'static str = "replicas";
+    const LIST: List = List::Replicas;
 
     async fn read(&self) -> Result<StorePosition, PlatformError> {
         let snapshot = self.plane.replicas().await?;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -31,6 +31,7 @@
 use crate::error::StartError;
 use crate::follow::follow;
 use crate::gossip;
+use crate::pause_guard::PauseGuard;
 use crate::reach_check;
 use crate::relay;
 use crate::relay::RelayService;
@@ -80,25 +81,43 @@
     let settings = &shared.settings;
     let socket = UdpSocket::bind(settings.gossip_address).await;
     let socket = socket.map_err(|e| bind_error("gossip", settings.gossip_address, e))?;
-    executor.detach(gossip::receive(Arc::clone(&shared), socket.clone()));
-    executor.detach(gossip::send(
-        Arc::clone(&shared),
-        socket,
-        requests.heartbeats,
-    ));
-    executor.detach(gossip::remove_down_peers(Arc::clone(&shared)));
     let mut store_check = StoreCheck::new(Arc::clone(&shared), plane.clone());
     let configuration = FollowedConfiguration {
         shared: Arc::clone(&shared),
         plane: plane.clone(),
     };
     let interval = settings.min_watch_interval;
-    executor.detach(follow(configuration, interval, store_check.returns()));
+    let configuration_returns = store_check.returns();
+    let replica_returns = store_check.returns();
+    let pause_guard = PauseGuard::new(store_check.followers(), shared.metrics.clone());
+    executor.detach(pause_guard.clone().run());
+    executor.detach(gossip::receive(
+        Arc::clone(&shared),
+        socket.clone(),
+        pause_guard.clone(),
+    ));
+    executor.detach(gossip::send(
+        Arc::clone(&shared),
+        socket,
+        requests.heartbeats,
+    ));
+    executor.detach(gossip::remove_down_peers(Arc::clone(&shared)));
+    executor.detach(follow(
+        configuration,
+        interval,
+        configuration_returns,
+        pause_guard.clone(),
+    ));
     let replicas = FollowedReplicas {
         shared: Arc::clone(&shared),
         plane,
     };
-    executor.detach(follow(replicas, interval, store_check.returns()));
+    executor.detach(follow(
+        replicas,
+        interval,
+        replica_returns,
+        pause_guard.clone(),
+    ));
     executor.detach(store_check.run());
     executor.detach(replica_watch::expire(Arc::clone(&shared)));
     executor.detach(relay::catch_up(Arc::clone(&shared), client.clone()));
@@ -120,6 +139,7 @@
             client,
             executor: executor.clone(),
             shared: Arc::clone(&shared),
+            pause_guard,
         },
     };
     let relay = RelayService {
--- a/crates/gateway/src/store_check.rs
+++ b/crates/gateway/src/store_check.rs
@@ -45,6 +45,11 @@
         rx
     }
 
+    /// Returns the senders by which the tasks are told to call the store anew.
+    pub fn followers(&self) -> Vec<Sender<()>> {
+        self.followers.clone()
+    }
+
     /// Runs the checks.
     pub async fn run(self) {
         let mut checks = StoreChecks::new(self.shared.settings.in_force_within);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod replica_limits;
 pub mod replicas;
 pub mod request_rate;
+pub mod resumption;
 pub mod retry;
 pub mod routes;
 pub mod share_allocator;
