Answer the last connections of a planned stop

What callers see: a request sent on a connection that was established in the last moments of a planned stop is answered. Before, it could end without an answer.

Cause: the process ended 60 ms after the last request while its listener went on accepting. Closing a listener resets the connections that wait to be accepted.

Why it works: once nothing is in flight a socket filter drops each SYN, so that no further handshake begins. Those that have begun end within 50 ms, the accept queue is served until it is empty, and only then is the listener closed. The process ends when the last connections have, or 0.4 s later if nothing is in flight.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -169,7 +169,7 @@
     );
     shared.limit_sessions(sessions.clone());
     let listener = listen("front", settings.client_address)?;
-    executor.detach(sessions.serve(listener, client_requests));
+    executor.detach(sessions.clone().serve(listener, client_requests));
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Hup) => {
@@ -179,7 +179,7 @@
             Err(e) => return Err(StartError::Signals(e)),
         }
     }
-    stop(&shared, end_sessions).await;
+    stop(&shared, &sessions, end_sessions).await;
     Ok(())
 }
 
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -7,6 +7,7 @@
 
 use async_channel::Sender;
 use async_io::Timer;
+use briarhall_net::Sessions;
 
 use crate::state::Shared;
 
@@ -17,13 +18,15 @@
 const PROPAGATION_MARGIN: Duration = Duration::from_millis(300);
 /// Time between two checks for requests in flight.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which connections that were accepted last may send a request.
+const LAST_CONNECTIONS_TIME: Duration = Duration::from_millis(400);
 /// Time to send the last bytes of the last answer.
 const FLUSH_DELAY: Duration = Duration::from_millis(60);
 /// Time before the process is killed at which it ends by itself.
 const KILL_MARGIN: Duration = Duration::from_millis(200);
 
 /// Shuts a gateway down. Dropping `end_sessions` closes idle connections.
-pub async fn stop(shared: &Arc<Shared>, end_sessions: Sender<()>) {
+pub async fn stop(shared: &Arc<Shared>, sessions: &Sessions, end_sessions: Sender<()>) {
     let start = Instant::now();
     let stop_deadline = start + shared.settings.grace.saturating_sub(KILL_MARGIN);
     let in_flight = shared.begin_stop(stop_deadline);
@@ -34,6 +37,12 @@
     while shared.state().in_flight > 0 && Instant::now() < stop_deadline {
         Timer::after(CHECK_INTERVAL).await;
     }
+    sessions.stop_accepting();
+    let stopped_at = Instant::now();
+    let may_send = || stopped_at.elapsed() < LAST_CONNECTIONS_TIME && !sessions.have_ended();
+    while (may_send() || shared.state().in_flight > 0) && Instant::now() < stop_deadline {
+        Timer::after(CHECK_INTERVAL).await;
+    }
     Timer::after(FLUSH_DELAY).await;
     let in_flight = shared.state().in_flight;
     log::info!(event = "stopped", in_flight; "gateway stopped");
--- a/crates/net/src/sessions.rs
+++ b/crates/net/src/sessions.rs
@@ -12,6 +12,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
@@ -19,6 +20,7 @@
 use std::time::Instant;
 
 use async_channel::Receiver;
+use async_channel::Sender;
 use async_io::Timer;
 use async_net::TcpListener;
 use async_net::TcpStream;
@@ -34,6 +36,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use smol_hyper::rt::FuturesIo;
+use socket2::SockFilter;
 use socket2::SockRef;
 
 use crate::Body;
@@ -45,6 +48,9 @@
 /// Time that a new connection has for its first request during shutdown: some
 /// round trips between regions.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(250);
+/// Time in which the handshakes that have begun end before a listener is closed: some round
+/// trips between availability zones.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(50);
 /// The smallest buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -66,6 +72,27 @@
     executor: Executor,
     /// Closed when connections are to be shut down.
     shutdown: Receiver<()>,
+    /// Closed when no further connection is to be accepted.
+    accepting: (Sender<()>, Receiver<()>),
+    /// Number of connections that are open, and of listeners that may accept more.
+    open: Arc<AtomicUsize>,
+}
+
+/// Counts a connection or a listener until this is dropped.
+#[derive(Debug)]
+struct OpenGuard(Arc<AtomicUsize>);
+
+impl OpenGuard {
+    fn new(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(open))
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// What a connection is doing, with its start where a timeout applies.
@@ -87,6 +114,8 @@
             limits: Arc::new(Mutex::new(limits)),
             executor,
             shutdown,
+            accepting: async_channel::bounded(1),
+            open: Arc::default(),
         }
     }
 
@@ -99,24 +128,58 @@
         *self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Accepts connections forever and answers each request with `handler`.
+    /// Ends accepting connections. Those that the system has accepted are still served.
+    pub fn stop_accepting(&self) {
+        self.accepting.0.close();
+    }
+
+    /// Returns whether no connection is open and none will be accepted.
+    #[must_use]
+    pub fn have_ended(&self) -> bool {
+        self.open.load(Ordering::Relaxed) == 0
+    }
+
+    /// Accepts connections until told to stop, and answers each request with `handler`.
     pub async fn serve<H>(self, listener: TcpListener, handler: H)
     where
         H: Handler,
     {
+        let _open = OpenGuard::new(&self.open);
         loop {
-            match listener.accept().await {
-                Ok((stream, peer)) => {
-                    let session = self.clone().session(stream, peer, handler.clone());
-                    self.executor.detach(session);
-                }
-                Err(e) => {
+            let accepted = async { Some(listener.accept().await) };
+            let stopped = async {
+                // Nothing is ever sent on the channel; it is only closed.
+                let _closed = self.accepting.1.recv().await;
+                None
+            };
+            match future::or(accepted, stopped).await {
+                Some(Ok((stream, peer))) => self.begin(stream, peer, &handler),
+                None => break,
+                Some(Err(e)) => {
                     // Most likely out of file descriptors: wait for some to be closed.
                     log::warn!(error = e.to_string().as_str(); "cannot accept a connection");
                     Timer::after(ACCEPT_RETRY_DELAY).await;
                 }
             }
         }
+        // Closing a listener resets the connections that wait to be accepted.
+        refuse_handshakes(&listener);
+        Timer::after(HANDSHAKE_TIME).await;
+        while let Some(Ok((stream, peer))) = future::poll_once(listener.accept()).await {
+            self.begin(stream, peer, &handler);
+        }
+    }
+
+    fn begin<H>(&self, stream: TcpStream, peer: SocketAddr, handler: &H)
+    where
+        H: Handler,
+    {
+        let guard = OpenGuard::new(&self.open);
+        let session = self.clone().session(stream, peer, handler.clone());
+        self.executor.detach(async move {
+            session.await;
+            drop(guard);
+        });
     }
 
     async fn session<H>(self, stream: TcpStream, peer: SocketAddr, handler: H)
@@ -203,6 +266,28 @@
     }
 }
 
+/// Lets no further handshake with a listener begin. Clients that try are refused when the
+/// listener is closed.
+fn refuse_handshakes(listener: &TcpListener) {
+    /// Loads a byte of the TCP header.
+    const LOAD_BYTE: u16 = 0x30;
+    /// Jumps if a bit is set.
+    const JUMP_IF_SET: u16 = 0x45;
+    /// Ends with the number of bytes to keep.
+    const RETURN: u16 = 0x06;
+    /// Position of the flags in the TCP header, and `SYN` among them.
+    const FLAGS: (u32, u32) = (13, 0x02);
+    let filter = [
+        SockFilter::new(LOAD_BYTE, 0, 0, FLAGS.0),
+        SockFilter::new(JUMP_IF_SET, 0, 1, FLAGS.1),
+        SockFilter::new(RETURN, 0, 0, 0),
+        SockFilter::new(RETURN, 0, 0, u32::MAX),
+    ];
+    if let Err(e) = SockRef::from(listener).attach_filter(&filter) {
+        log::debug!(error = e.to_string().as_str(); "cannot filter handshakes");
+    }
+}
+
 enum Ended {
     Served(hyper::Result<()>),
     TimedOut,
