Count comments of a stalled stream as silence

What callers see: a stream whose replica has stalled and sends only comments goes on at another replica before its client gives up on an event. Before, it broke off at its deadline.

Cause: each comment began a new wait for the next event.

Evidence: `slow_streams::*`. Before, one of six cases failed (comments on a route that may resume). After, all six pass, and the 24 cases of slow_streams, streams, stopping and stop_under_load do.

Why it works: only time waited since the last event counts, so that a client that reads slowly is no silence. While another replica is asked to go on, comments of the silent one do not count as its answer; an event of it does, so that a slow but sound stream is not cut.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -7,6 +7,7 @@
 
 use std::pin::pin;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use briarhall_net::Body;
@@ -295,11 +296,17 @@
     ) -> StreamEnd {
         let event_timeout = event_timeout(&self.job.route);
         let silence = event_timeout.mul_f64(NEXT_EVENT_SILENCE_SHARE);
+        // Time waited since the last event that is not blank: a stalled replica may still
+        // send comments.
+        let mut silent_for = Duration::ZERO;
         let mut next = first;
         loop {
             self.framing = source.framing;
             match next {
                 StreamItem::Event(event) => {
+                    if !event.is_blank {
+                        silent_for = Duration::ZERO;
+                    }
                     self.record_begun(&source, &event);
                     if !self.is_repeated(&event) {
                         if event.id.is_some() {
@@ -343,13 +350,16 @@
                     log_break(&self.job, id, &next, source.framing, self.events);
                     self.record(&source, SendOutcome::Silent);
                     (source, next) = self.resume_or_wait(source).await;
+                    silent_for = Duration::ZERO;
                     continue;
                 }
             }
             // A replica that sends faster than the client reads would keep this task
             // from giving way, also to the deadline.
             future::yield_now().await;
-            next = source.next(silence).await;
+            let waits_since = Instant::now();
+            next = source.next(silence.saturating_sub(silent_for)).await;
+            silent_for += waits_since.elapsed();
         }
     }
 
@@ -393,10 +403,13 @@
         let left = self.job.time_left();
         let other = {
             let from_silent = async {
-                match silent.next(left).await {
-                    // The other replica may still resume the stream.
-                    StreamItem::Broken(_) => pending().await,
-                    next => Err(next),
+                loop {
+                    match silent.next(left).await {
+                        StreamItem::Event(event) if event.is_blank => {}
+                        // The other replica may still resume the stream.
+                        StreamItem::Broken(_) => pending().await,
+                        next => return Err(next),
+                    }
                 }
             };
             let from_other = async { Ok(self.resume().await) };
