--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use briarhall_net::HttpClient;
 use briarhall_net::HttpError;
 use briarhall_policy::departures::ReplicaProcess;
+use briarhall_policy::engine;
 use briarhall_policy::health::SendOutcome;
 use briarhall_types::ReplicaId;
 use hyper::Request;
@@ -25,8 +26,10 @@
 use crate::outcomes::record_run;
 use crate::patience::Patience;
 use crate::patience::Silent;
+use crate::pause_guard::PauseGuard;
 use crate::place::Placement;
-use crate::reach_check::record_reached;
+use crate::reach_check::await_head;
+use crate::reach_check::record_answered;
 use crate::request_error::DEFAULT_RETRY_AFTER;
 use crate::request_error::RequestError;
 use crate::state::Shared;
@@ -110,6 +113,8 @@
     pub executor: Executor,
     /// Control state.
     pub shared: Arc<Shared>,
+    /// Notices pauses of the process.
+    pub pause_guard: PauseGuard,
 }
 
 impl<W> Dispatcher<W>
@@ -130,6 +135,12 @@
         if self.is_evacuated(job, placement) {
             return SendResult::NotRun;
         }
+        if self.pause_guard.has_paused_since(placement.placed_at) {
+            // Its replicas may drain by now, and memory reserved for it may be lost.
+            attempts.refused += 1;
+            log_failed_send(job, id, "paused", 0);
+            return SendResult::NotRun;
+        }
         attempts.tried.push(id.clone());
         if let Some(detour) = placement.detour {
             let sent =
@@ -140,6 +151,8 @@
         let req = self.request(job, placement, resume_after);
         let address = placement.replica.address;
         let exchange = self.client.start(address, req, CONNECT_TIMEOUT);
+        let predicted = engine::predicted_time(placement.predicted_ms);
+        let exchange = await_head(&self.shared, opened_at, predicted, exchange);
         let limit = patience.limit();
         let exchange = match patience.wait(exchange).await {
             Ok(Ok(exchange)) => exchange,
@@ -153,7 +166,7 @@
             }
         };
         attempts.reached += 1;
-        record_reached(&self.shared, opened_at);
+        record_answered(&self.shared, opened_at);
         let (parts, body) = exchange.reply.into_parts();
         let head = self.wire.reply_head(&parts);
         let process = ReplicaProcess {
--- a/crates/gateway/src/evacuation_watch.rs
+++ b/crates/gateway/src/evacuation_watch.rs
@@ -7,6 +7,7 @@
 use async_io::Timer;
 use briarhall_objects::PlatformError;
 use briarhall_policy::evacuations::EvacuationEvent;
+use briarhall_policy::resumption::List;
 use briarhall_types::StorePosition;
 
 use crate::control_plane::ControlPlane;
@@ -33,6 +34,7 @@
     C: ControlPlane,
 {
     const NAME: &'static str = "evacuations";
+    const LIST: List = List::Evacuations;
 
     async fn read(&self) -> Result<StorePosition, PlatformError> {
         let snapshot = self.plane.evacuations().await?;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -6,10 +6,12 @@
 
 use async_io::Timer;
 use briarhall_objects::PlatformError;
+use briarhall_policy::resumption::List;
 use briarhall_policy::watch_pace::WatchPace;
 use briarhall_types::StorePosition;
 use futures_lite::future;
 
+use crate::pause_guard::PauseGuard;
 use crate::store_check::StoreReturns;
 use crate::store_gate::StoreGate;
 
@@ -26,6 +28,8 @@
 pub trait Followed: Send + Sync {
     /// Its name in logs.
     const NAME: &'static str;
+    /// Which list it is.
+    const LIST: List;
 
     /// Reads it completely, and returns the position to watch from.
     fn read(&self) -> impl Future<Output = Result<StorePosition, PlatformError>> + Send;
@@ -45,6 +49,17 @@
     fn on_unavailable(&self) {}
 }
 
+/// What tells a task when to call the store.
+#[derive(Debug, Clone)]
+pub struct StoreSignals {
+    /// The returns of the store from outages.
+    pub returns: StoreReturns,
+    /// Open while this gateway reads the store.
+    pub gate: StoreGate,
+    /// Is told which lists were read since the last pause of the process.
+    pub pause_guard: PauseGuard,
+}
+
 /// Checks that the answer of a watch follows what was read before. In another era
 /// the same revisions are other changes.
 ///
@@ -63,14 +78,15 @@
 /// in series are read no more often than each `min_interval`. What was called before
 /// the store returns from an outage may never be answered, so it is called anew. While
 /// the gate is closed nothing is called, and afterwards it is read completely.
-pub async fn follow<F>(
-    followed: F,
-    min_interval: Duration,
-    store_returns: StoreReturns,
-    gate: StoreGate,
-) where
+pub async fn follow<F>(followed: F, min_interval: Duration, signals: StoreSignals)
+where
     F: Followed,
 {
+    let StoreSignals {
+        returns: store_returns,
+        gate,
+        pause_guard,
+    } = signals;
     let mut position = None;
     let mut pace = WatchPace::new(min_interval);
     let max_backoff = min_interval.max(MIN_LONGEST_BACKOFF);
@@ -96,6 +112,9 @@
             None
         };
         let read = future::or(call, abandoned).await;
+        if let (None, Some(read)) = (position, &read) {
+            pause_guard.record_read(F::LIST, read.is_ok(), called_at);
+        }
         let call = if position.is_some() { "watch" } else { "read" };
         let after_ms = u64::try_from(called_at.elapsed().as_millis()).unwrap_or(u64::MAX);
         match read {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -24,6 +24,7 @@
 
 use crate::evacuation_watch;
 use crate::heartbeat::Heartbeat;
+use crate::pause_guard::PauseGuard;
 use crate::state::Shared;
 use crate::state::State;
 
@@ -243,7 +244,7 @@
 }
 
 /// Receives heartbeats and applies them.
-pub async fn receive(shared: Arc<Shared>, socket: UdpSocket) {
+pub async fn receive(shared: Arc<Shared>, socket: UdpSocket, pause_guard: PauseGuard) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES + 1_024];
     loop {
         let len = match socket.recv_from(&mut buf).await {
@@ -254,6 +255,10 @@
                 continue;
             }
         };
+        // What waited in a pause is no longer so, though it says how old it is.
+        if pause_guard.may_be_backlog() {
+            continue;
+        }
         match Heartbeat::decode(&buf[..len]) {
             Ok(heartbeat) => apply(&shared, heartbeat),
             Err(e) => {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -18,6 +18,7 @@
 use briarhall_net::Sessions;
 use briarhall_net::bind;
 use briarhall_net::serve;
+use briarhall_policy::resumption::List;
 use briarhall_types::ClientLimits;
 use futures_lite::StreamExt;
 
@@ -30,8 +31,10 @@
 use crate::error::StartError;
 use crate::evacuation_watch;
 use crate::evacuation_watch::FollowedEvacuations;
+use crate::follow::StoreSignals;
 use crate::follow::follow;
 use crate::gossip;
+use crate::pause_guard::PauseGuard;
 use crate::reach_check;
 use crate::relay;
 use crate::relay::RelayService;
@@ -45,6 +48,15 @@
 use crate::store_gate::StoreGates;
 use crate::wire::Wire;
 
+/// Keeps a task running for the life of the process, with clones of its arguments.
+macro_rules! keep_running {
+    ($executor:ident, $task:literal, $($run:ident)::+ ($($arg:ident),+)) => {{
+        let running = $executor.clone();
+        $(let $arg = $arg.clone();)+
+        running.keep_running($task, move || $($run)::+($($arg.clone()),+));
+    }};
+}
+
 /// Runs a gateway until it receives a stop signal.
 ///
 /// # Errors
@@ -83,34 +95,41 @@
     let settings = &shared.settings;
     let socket = UdpSocket::bind(settings.gossip_address).await;
     let socket = socket.map_err(|e| bind_error("gossip", settings.gossip_address, e))?;
-    executor.detach(gossip::receive(Arc::clone(&shared), socket.clone()));
-    executor.detach(gossip::send(
-        Arc::clone(&shared),
-        socket,
-        requests.heartbeats,
-    ));
-    executor.detach(gossip::remove_down_peers(Arc::clone(&shared)));
-    keep_in_sync(&shared, &plane, &executor);
-    executor.detach(replica_watch::expire(Arc::clone(&shared)));
-    executor.detach(relay::catch_up(Arc::clone(&shared), client.clone()));
-    executor.detach(crash_check::run(
-        Arc::clone(&shared),
-        client.clone(),
-        executor.clone(),
-        requests.failed,
-    ));
-    executor.detach(reach_check::run(Arc::clone(&shared), client.clone()));
-    executor.detach(reach_check::run_on_request(
-        Arc::clone(&shared),
-        client.clone(),
-        requests.link_checks,
-    ));
+    let pause_guard = keep_in_sync(&shared, &plane, &executor);
+    keep_running!(
+        executor,
+        "heartbeats_in",
+        gossip::receive(shared, socket, pause_guard)
+    );
+    let heartbeats = requests.heartbeats;
+    keep_running!(
+        executor,
+        "heartbeats_out",
+        gossip::send(shared, socket, heartbeats)
+    );
+    keep_running!(executor, "peers", gossip::remove_down_peers(shared));
+    keep_running!(executor, "expiry", replica_watch::expire(shared));
+    keep_running!(executor, "relay", relay::catch_up(shared, client));
+    let failed = requests.failed;
+    keep_running!(
+        executor,
+        "crash_check",
+        crash_check::run(shared, client, executor, failed)
+    );
+    keep_running!(executor, "reach_check", reach_check::run(shared, client));
+    let link_checks = requests.link_checks;
+    keep_running!(
+        executor,
+        "link_check",
+        reach_check::run_on_request(shared, client, link_checks)
+    );
     let client_requests = ClientRequests {
         dispatcher: Dispatcher {
             wire: wire.clone(),
             client,
             executor: executor.clone(),
             shared: Arc::clone(&shared),
+            pause_guard,
         },
     };
     let relay = RelayService {
@@ -140,7 +159,7 @@
     );
     shared.limit_sessions(sessions.clone());
     let listener = listen("front", settings.client_address)?;
-    executor.detach(sessions.serve(listener, client_requests));
+    executor.detach(sessions.clone().serve(listener, client_requests));
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Hup) => {
@@ -150,42 +169,72 @@
             Err(e) => return Err(StartError::Signals(e)),
         }
     }
-    stop(&shared, end_sessions).await;
+    stop(&shared, &sessions, end_sessions).await;
     Ok(())
 }
 
-/// Starts the tasks that read the store.
-fn keep_in_sync<C>(shared: &Arc<Shared>, plane: &C, executor: &Executor)
+/// Starts the tasks that read the store, and returns what notices pauses of the process.
+fn keep_in_sync<C>(shared: &Arc<Shared>, plane: &C, executor: &Executor) -> PauseGuard
 where
     C: ControlPlane,
 {
-    let settings = &shared.settings;
+    let interval = shared.settings.min_watch_interval;
+    let follows_evacuations = shared.settings.evacuated_within.is_some();
     let mut store_check = StoreCheck::new(Arc::clone(shared), plane.clone());
     let mut gates = StoreGates::new(Arc::clone(shared));
-    let configuration = FollowedConfiguration {
-        shared: Arc::clone(shared),
-        plane: plane.clone(),
-    };
-    let interval = settings.min_watch_interval;
-    let returns = store_check.returns();
-    executor.detach(follow(configuration, interval, returns, gates.gate()));
-    if settings.evacuated_within.is_some() {
+    let mut lists = vec![List::Configuration, List::Replicas];
+    if follows_evacuations {
+        lists.push(List::Evacuations);
+    }
+    let returns = lists.iter().map(|_| store_check.returns());
+    let returns = returns.collect::<Vec<_>>();
+    let followers = store_check.followers();
+    let pause_guard = PauseGuard::new(&lists, followers, shared.metrics.clone());
+    let signals = returns.into_iter().map(|returns| StoreSignals {
+        returns,
+        gate: gates.gate(),
+        pause_guard: pause_guard.clone(),
+    });
+    let mut signals = signals.collect::<Vec<_>>().into_iter();
+    keep_running!(executor, "pauses", PauseGuard::run(pause_guard));
+    if let Some(signals) = signals.next() {
+        let configuration = FollowedConfiguration {
+            shared: Arc::clone(shared),
+            plane: plane.clone(),
+        };
+        keep_running!(
+            executor,
+            "configuration",
+            follow(configuration, interval, signals)
+        );
+    }
+    if let Some(signals) = signals.next() {
+        let replicas = FollowedReplicas {
+            shared: Arc::clone(shared),
+            plane: plane.clone(),
+        };
+        keep_running!(executor, "replicas", follow(replicas, interval, signals));
+    }
+    if let Some(signals) = signals.next() {
         let evacuations = FollowedEvacuations {
             shared: Arc::clone(shared),
             plane: plane.clone(),
         };
-        let returns = store_check.returns();
-        executor.detach(follow(evacuations, interval, returns, gates.gate()));
-        executor.detach(evacuation_watch::expire(Arc::clone(shared)));
+        keep_running!(
+            executor,
+            "evacuations",
+            follow(evacuations, interval, signals)
+        );
+        keep_running!(
+            executor,
+            "evacuations_end",
+            evacuation_watch::expire(shared)
+        );
     }
-    let replicas = FollowedReplicas {
-        shared: Arc::clone(shared),
-        plane: plane.clone(),
-    };
-    let returns = store_check.returns();
-    executor.detach(follow(replicas, interval, returns, gates.gate()));
-    executor.detach(store_check.run(gates.gate()));
-    executor.detach(gates.run());
+    let gate = gates.gate();
+    keep_running!(executor, "store_check", StoreCheck::run(store_check, gate));
+    keep_running!(executor, "store_gates", StoreGates::run(gates));
+    pause_guard
 }
 
 fn serve_on<H>(
--- a/crates/gateway/src/store_check.rs
+++ b/crates/gateway/src/store_check.rs
@@ -19,7 +19,7 @@
 pub type StoreReturns = Receiver<()>;
 
 /// Checks the store at a regular interval for the life of the process.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct StoreCheck<C> {
     shared: Arc<Shared>,
     plane: C,
@@ -46,6 +46,11 @@
         rx
     }
 
+    /// Returns the senders by which the tasks are told to call the store anew.
+    pub fn followers(&self) -> Vec<Sender<()>> {
+        self.followers.clone()
+    }
+
     /// Runs the checks while the gate is open.
     pub async fn run(self, gate: StoreGate) {
         let mut checks = StoreChecks::new(self.shared.settings.in_force_within);
--- a/crates/gateway/src/store_gate.rs
+++ b/crates/gateway/src/store_gate.rs
@@ -22,7 +22,7 @@
 const DECISION_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Tells one task whether it may call the store.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct StoreGate {
     shared: Arc<Shared>,
     changes: Receiver<()>,
@@ -66,7 +66,7 @@
 }
 
 /// Opens and closes all gates of a gateway.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct StoreGates {
     shared: Arc<Shared>,
     holders: Vec<Sender<()>>,
