Policy: limits of cold replicas, kept by shares and a count

Cause: a replica that has just started takes a few requests a second and crashes well above that. Counting all sends alone overshoots by all that is sent within the age of a view.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod advertised;
 pub mod claims;
+pub mod cold_replicas;
 pub mod config_store;
 pub mod crashes;
 pub mod crashing_parts;
