Gateway: hold requests to cold replicas, in each choice of a replica

Cause: cold_left_ms, born and Cold-Ms were read by nobody, and nothing limited what gateways send a replica that has just started.

Below the limit a cold replica has a penalty that falls until it is warm, so that warm ones with room go first. Where all are used up callers are refused as for limits that replicas name. Reports follow a heartbeat as an extension, only where there is anything to tell. Metrics cold_replicas and cold_limit_held, log events cold and cold_unreadable.

Tests: heartbeat (11), documents (11) and heads (4) pass. They show that a heartbeat without a report has no bytes for it, that a report survives the way and an unknown extension does not matter, and which limits and bounds are read. The process tests on limits (15) pass unchanged.

--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -14,6 +14,7 @@
 use briarhall_types::ReplicaRecord;
 
 use crate::attempt::Attempts;
+use crate::cold::ColdChoice;
 use crate::gossip;
 use crate::job::Job;
 use crate::limits_in_force::LimitsInForce;
@@ -75,6 +76,15 @@
     }
 }
 
+/// The replicas that may run a request.
+#[derive(Debug)]
+pub struct Candidates {
+    /// What placement chooses among.
+    pub replicas: Vec<Candidate<ReplicaId>>,
+    /// Whether others get nothing now because they are, or may be, cold.
+    pub cold_limit_held: bool,
+}
+
 /// Returns the replicas of the job's service that work for this gateway, without those
 /// that were tried if there are others.
 pub fn candidates(
@@ -83,12 +93,16 @@
     attempts: &Attempts,
     settings: &Settings,
     now: Instant,
-) -> Vec<Candidate<ReplicaId>> {
+) -> Candidates {
     let loads = state.load_tracker.loads(now);
     let limits = LimitsInForce::new(state, &settings.vm, now);
     let of_service = state.replicas.usable();
     let of_service = of_service.filter(|record| record.service == job.service);
     let of_service = of_service.filter(|record| !state.pauses.is_paused(&record.id, now));
+    let of_service = of_service.collect::<Vec<_>>();
+    let cold = ColdChoice::new(&state.cold_replicas, &of_service, now);
+    let of_service = of_service.iter().copied();
+    let of_service = of_service.filter(|record| !cold.is_held(&record.id));
     let candidate = |record: &ReplicaRecord| Candidate {
         key: record.id.clone(),
         order: rendezvous::weight(job.service.as_str(), record.id.as_str()),
@@ -97,16 +111,20 @@
             .get(&tag(record.id.as_str()))
             .cloned()
             .unwrap_or_default(),
-        penalty: state.health.penalty(&record.id, now),
+        penalty: state.health.penalty(&record.id, now) + cold.penalty(&record.id),
         same_zone: record.zone == settings.zone,
         only_helps: limits.time_left(&record.id).is_some(),
     };
     let all = of_service.map(candidate).collect::<Vec<_>>();
+    let cold_limit_held = cold.holds_any();
     let untried = all.iter().filter(|c| !attempts.tried.contains(&c.key));
     let untried = untried.cloned().collect::<Vec<_>>();
-    if untried.iter().all(|c| c.only_helps) {
-        all
-    } else {
-        untried
+    Candidates {
+        replicas: if untried.iter().all(|c| c.only_helps) {
+            all
+        } else {
+            untried
+        },
+        cold_limit_held,
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -93,7 +93,7 @@
             // The channel stays open as long as the state lives.
             let _requested = requests.recv().await;
         };
-        let interval = if shared.state().replica_limits.is_repeated(Instant::now()) {
+        let interval = if shared.state().repeats_sends(Instant::now()) {
             REPEAT_INTERVAL
         } else {
             HEARTBEAT_INTERVAL
@@ -129,6 +129,7 @@
         state.replica_limits.remove_expired(now);
         let presence = shared.next_presence(&mut state, now);
         update_advertised(&mut state, &presence, now);
+        state.update_cold_replicas(&presence, &shared.metrics, now);
         let interval = regular_interval(state.peers.count());
         let announced = Announced {
             ready: presence.ready,
@@ -168,6 +169,7 @@
             limits: state.replica_limits.own_observations(now),
             limited_sends: state.replica_limits.own_sends(now),
             known,
+            cold: state.cold_replicas.own_report(now),
         };
         drop(state);
         let bytes = self.encode(shared, &mut heartbeat);
@@ -271,6 +273,7 @@
         limits,
         limited_sends,
         known,
+        cold,
     } = heartbeat;
     if presence.vm == shared.settings.vm && presence.incarnation == shared.incarnation {
         return;
@@ -309,6 +312,7 @@
     state
         .replica_limits
         .set_peer_sends(incarnation, &limited_sends, now);
+    state.cold_replicas.apply_report(incarnation, &cold, now);
     let events = leaving
         .iter()
         .filter_map(|replica| state.replicas.record_leaving(replica, HeardBy::Peer));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod buffered;
 mod candidates;
 mod client_request;
+mod cold;
 mod config_watch;
 mod control_plane;
 mod crash_check;
@@ -43,6 +44,7 @@
 mod stream_log;
 mod wire;
 
+pub use briarhall_policy::cold_replicas::ColdBound;
 pub use briarhall_policy::policies::Policy;
 pub use briarhall_policy::window_budget::BudgetBound;
 pub use control_plane::ConfigurationChange;
--- a/crates/gateway/src/limits_in_force.rs
+++ b/crates/gateway/src/limits_in_force.rs
@@ -50,6 +50,14 @@
         limits.time_left(replica, self.heard, self.now, || self.turn(replica))
     }
 
+    /// Returns how long this gateway sends no request to a replica because of a limit or
+    /// because it is cold, or `None` if it may now.
+    pub fn wait(&self, id: &ReplicaId) -> Option<Duration> {
+        let cold = &self.state.cold_replicas;
+        let cold_left = cold.time_left(tag(id.as_str()), self.now);
+        self.time_left(id).max(cold_left)
+    }
+
     /// Returns the time between two callers of these replicas that this gateway tells to
     /// come back.
     pub fn return_interval<'i, I>(&self, ids: I) -> Duration
@@ -57,7 +65,12 @@
         I: Iterator<Item = &'i ReplicaId>,
     {
         let limits = &self.state.replica_limits;
-        let per_s = ids.filter_map(|id| limits.per_s(tag(id.as_str())));
+        let cold = &self.state.cold_replicas;
+        let per_s = ids.filter_map(|id| {
+            let replica = tag(id.as_str());
+            let both = [limits.per_s(replica), cold.per_s(replica, self.now)];
+            both.into_iter().flatten().reduce(f64::min)
+        });
         let per_s = per_s.sum::<f64>();
         let gateways = self.state.peers.serving(self.now).count() + 1;
         let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -51,6 +51,16 @@
             "replica wants no requests for a time"
         );
     }
+    if let Some(left) = notice.cold_left {
+        let process = (&process.id, process.started_unix_ms);
+        let mut state = shared.state();
+        let cold = &mut state.cold_replicas;
+        let is_news = cold.observe_answer(process.0, process.1, left, Instant::now());
+        drop(state);
+        if is_news {
+            shared.request_heartbeat();
+        }
+    }
     if notice.leaving {
         record_leaving(shared, process);
     }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -22,6 +22,7 @@
 use crate::attempt::Attempts;
 use crate::attempt::Dispatcher;
 use crate::attempt::elapsed_ms;
+use crate::candidates::Candidates;
 use crate::candidates::candidates;
 use crate::candidates::first_work;
 use crate::candidates::part_work;
@@ -220,11 +221,22 @@
         if queue_position.is_some_and(|queue_position| !queue_position.is_first(&state, now)) {
             return Err(PlacementError::Full);
         }
-        let candidates = candidates(&state, job, attempts, &self.shared.settings, now);
+        let Candidates {
+            replicas: candidates,
+            cold_limit_held,
+        } = candidates(&state, job, attempts, &self.shared.settings, now);
+        if cold_limit_held {
+            self.shared.metrics.count("cold_limit_held");
+        }
         let plan = match (self.shared.settings.placement, &job.engine) {
             (Policy::Lanes, _) | (_, None) => {
                 let unseen = unseen_placements(&state, now);
-                choose(job, generated, &candidates, unseen)?
+                let plan = choose(job, generated, &candidates, unseen);
+                plan.map_err(|e| match e {
+                    // The replicas that get nothing now have memory as well.
+                    PlacementError::TooLarge if cold_limit_held => PlacementError::Full,
+                    e => e,
+                })?
             }
             (policy, Some(spec)) => {
                 let round_robin = state.next_round_robin();
@@ -248,6 +260,10 @@
         let parts = parts.collect::<Vec<_>>();
         let first_tag = tag(plan.first.as_str());
         state.replica_limits.sent(first_tag, now);
+        state.cold_replicas.sent(first_tag, now);
+        for id in &plan.helpers {
+            state.cold_replicas.sent(tag(id.as_str()), now);
+        }
         let work_guard = WorkGuard::new(&self.shared, &mut state, first, &parts);
         let known = KnownState {
             registry_revision: state.replicas.position().revision,
--- a/crates/gateway/src/refusals.rs
+++ b/crates/gateway/src/refusals.rs
@@ -130,10 +130,11 @@
             );
             return Some(pause);
         }
-        if state.replica_limits.is_empty() || self.queues(job) {
+        let is_limited = !state.replica_limits.is_empty() || state.cold_replicas.is_enabled();
+        if !is_limited || self.queues(job) {
             return None;
         }
-        let left = |id: &&ReplicaId| limits.time_left(id).max(state.pauses.left(id, now));
+        let left = |id: &&ReplicaId| limits.wait(id).max(state.pauses.left(id, now));
         let left = ids.iter().map(left).collect::<Option<Vec<_>>>()?;
         let first = left.into_iter().min()?;
         if limit_wait_ends.is_some_and(|end| now < end) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use briarhall_policy::cold_replicas::ColdBound;
 use briarhall_policy::peers::VmName;
 use briarhall_policy::policies::Policy;
 use briarhall_policy::window_budget::BudgetBound;
@@ -40,6 +41,8 @@
     pub in_force_within: Duration,
     /// Shortest time between two reads of a series of changes in the store.
     pub min_watch_interval: Duration,
+    /// Bound on requests to cold replicas.
+    pub cold_bound: ColdBound,
     /// Limit on retries.
     pub budget: BudgetBound,
     /// Placement policy for engines.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use briarhall_net::ByteBudget;
 use briarhall_net::Metrics;
 use briarhall_net::Sessions;
+use briarhall_policy::cold_replicas::ColdReplicas;
 use briarhall_policy::crashes::Crashes;
 use briarhall_policy::crashing_parts::CrashingParts;
 use briarhall_policy::crashing_parts::replica_digest;
@@ -41,6 +42,7 @@
 use briarhall_types::StoreEra;
 use briarhall_types::StorePosition;
 
+use crate::cold;
 use crate::settings::Settings;
 use crate::start::session_limits;
 
@@ -90,6 +92,8 @@
     pub pauses: Pauses,
     /// Limits that replicas name for all gateways together.
     pub replica_limits: ReplicaLimits,
+    /// Replicas that have just started, and what they may get.
+    pub cold_replicas: ColdReplicas,
     /// Requests that may crash replicas.
     pub crashes: Crashes,
     /// Parts of prompts that may crash replicas.
@@ -172,6 +176,7 @@
             reach: Reach::default(),
             pauses: Pauses::default(),
             replica_limits: ReplicaLimits::default(),
+            cold_replicas: ColdReplicas::default(),
             crashes: Crashes::default(),
             crashing_parts: CrashingParts::default(),
             load_tracker: LoadTracker::default(),
@@ -309,6 +314,8 @@
         let (era, revision) = (position.era, position.revision);
         self.metrics.count("configuration_changed");
         log::info!(event = "configuration", version, era, revision, source; "configuration applied");
+        let cold_limits = cold::limits(&configuration, self.settings.cold_bound);
+        state.cold_replicas.set_limits(cold_limits);
         let table = Arc::new(RouteTable::new(configuration.clone()));
         if let Some(sessions) = self.sessions.get() {
             sessions.set_limits(session_limits(table.limits()));
@@ -371,6 +378,8 @@
     /// Logs changes of replicas, and clears the health records of those that
     /// are gone or restarted.
     pub fn record_replica_events(&mut self, events: &[ReplicaEvent], source: &str) {
+        let (cold, now) = (&mut self.cold_replicas, Instant::now());
+        cold::observe_events(cold, &self.replicas, events, now);
         for event in events {
             if event.status == ReplicaStatus::Restarted {
                 self.pauses.forget(&event.id);
@@ -392,6 +401,19 @@
         }
     }
 
+    /// Applies which gateways are up to the shares in cold replicas, and logs and counts
+    /// those replicas. Does nothing where no service has a cold limit.
+    pub fn update_cold_replicas(&mut self, own: &Presence, metrics: &Metrics, now: Instant) {
+        cold::update(&mut self.cold_replicas, own, &self.peers, metrics, now);
+    }
+
+    /// Returns whether other gateways may not know yet what this one sent to replicas
+    /// with a limit.
+    #[must_use]
+    pub fn repeats_sends(&self, now: Instant) -> bool {
+        self.replica_limits.is_repeated(now) || self.cold_replicas.is_repeated(now)
+    }
+
     /// Returns the version in force and where the store has it.
     #[must_use]
     pub fn held_configuration(&self) -> HeldConfiguration {
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -114,6 +114,8 @@
     pub pause: Option<Duration>,
     /// The requests a second that it takes from all gateways together.
     pub limit_per_s: Option<f64>,
+    /// How long it is cold; zero when it is warm.
+    pub cold_left: Option<Duration>,
 }
 
 /// A replica that another one names as the reason for its answer.
--- a/crates/gateway/tests/heartbeat.rs
+++ b/crates/gateway/tests/heartbeat.rs
@@ -7,6 +7,9 @@
 
 use bolero::TypeGenerator;
 use briarhall_gateway::heartbeat::Heartbeat;
+use briarhall_policy::cold_replicas::ColdObservation;
+use briarhall_policy::cold_replicas::ColdReplicas;
+use briarhall_policy::cold_replicas::ColdReport;
 use briarhall_policy::crashes::Crashes;
 use briarhall_policy::crashes::Observation;
 use briarhall_policy::crashes::ObservedOutcome;
@@ -37,6 +40,48 @@
     SocketAddr::from(([127, 0, 0, n], 7_340))
 }
 
+fn cold_report() -> ColdReport {
+    ColdReport {
+        observations: vec![
+            ColdObservation {
+                replica: 7,
+                left_ms: 2_400,
+                age_ms: 30,
+            };
+            2
+        ],
+        sends: vec![
+            LimitedSends {
+                replica: 7,
+                count: 3,
+                age_ms: 70,
+            };
+            3
+        ],
+    }
+}
+
+/// Guards against bytes for cold replicas where there is nothing to tell of them, and
+/// against a report that is lost on the way.
+#[test]
+fn a_heartbeat_carries_cold_replicas_only_where_there_are_any() {
+    let with = heartbeat();
+    let without = Heartbeat {
+        cold: ColdReport::default(),
+        ..heartbeat()
+    };
+    let (long, short) = (with.encode(), without.encode());
+    assert!(long.starts_with(&short) && long.len() > short.len());
+    assert_eq!(Heartbeat::decode(&long).as_ref(), Ok(&with));
+    assert_eq!(Heartbeat::decode(&short).as_ref(), Ok(&without));
+    // The bytes are those of before: gateways of an earlier version read as many.
+    let (_, rest) = postcard::take_from_bytes::<Heartbeat>(&long).expect("a heartbeat");
+    assert_eq!(rest, &long[short.len()..]);
+    // A kind of a later version is ignored.
+    let unknown = [short.as_slice(), &[200, 1, 2, 3]].concat();
+    assert_eq!(Heartbeat::decode(&unknown).as_ref(), Ok(&without));
+}
+
 fn heartbeat() -> Heartbeat {
     let work = Work {
         replica: 7,
@@ -124,6 +169,7 @@
             3
         ],
         known: vec![address(4), address(5)],
+        cold: cold_report(),
     }
 }
 
@@ -186,6 +232,7 @@
         limits: Vec::new(),
         limited_sends: Vec::new(),
         known: Vec::new(),
+        cold: ColdReport::default(),
         ..heartbeat()
     };
     assert_eq!(cut, empty);
@@ -239,6 +286,7 @@
         limits,
         limited_sends,
         known,
+        cold,
     } = heartbeat;
     let vm = presence.vm.clone();
     let incarnation = presence.incarnation;
@@ -265,6 +313,7 @@
         let event = replicas.record_leaving(replica, HeardBy::Peer);
         assert_eq!(event, None, "the registry lists no such replica");
     }
+    ColdReplicas::default().apply_report(incarnation, &cold, now);
     let mut replica_limits = ReplicaLimits::default();
     replica_limits.apply_observations(&limits, now);
     replica_limits.set_peer_sends(incarnation, &limited_sends, now);
--- a/crates/types/src/configuration.rs
+++ b/crates/types/src/configuration.rs
@@ -86,6 +86,18 @@
     pub name: ServiceName,
     /// Speed of its engines; absent for a plain service.
     pub engine: Option<EngineSpec>,
+    /// What its replicas take after a start; absent where that is not limited.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdSpec>,
+}
+
+/// What a replica takes after a start, while it is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdSpec {
+    /// Time for which it is cold.
+    pub lasts: Duration,
+    /// Requests a second that it takes meanwhile.
+    pub per_s: f64,
 }
 
 /// Speed and memory of a model engine, as its operator measured it.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -16,6 +16,7 @@
 mod tokens;
 
 pub use configuration::ClientLimits;
+pub use configuration::ColdSpec;
 pub use configuration::Configuration;
 pub use configuration::ConfigurationVersion;
 pub use configuration::EngineSpec;
