--- a/crates/gateway/src/limits_in_force.rs
+++ b/crates/gateway/src/limits_in_force.rs
@@ -58,6 +58,12 @@
         self.time_left(id).max(cold_left)
     }
 
+    /// Returns whether a replica is known to be cold.
+    pub fn is_cold(&self, id: &ReplicaId) -> bool {
+        let cold = &self.state.cold_replicas;
+        cold.is_cold(tag(id.as_str()), self.now)
+    }
+
     /// Returns the time between two callers of these replicas that this gateway tells to
     /// come back.
     pub fn return_interval<'i, I>(&self, ids: I) -> Duration
--- a/crates/gateway/src/refusals.rs
+++ b/crates/gateway/src/refusals.rs
@@ -32,6 +32,9 @@
 const LIMIT_WAIT_SHARE: f64 = 0.1;
 /// Longest such wait.
 const MAX_LIMIT_WAIT: Duration = Duration::from_millis(200);
+/// The same where replicas are cold: all gateways compete for their places, so that most
+/// waits are in vain.
+const MAX_COLD_WAIT: Duration = Duration::from_millis(50);
 /// Time within which most calls of services without engines end.
 const CALL_DURATION: Duration = Duration::from_millis(300);
 /// Time to generate a streamed answer: 40 events, each of a decode pass of 50
@@ -140,6 +143,7 @@
         if limit_wait_ends.is_some_and(|end| now < end) {
             return None;
         }
+        let any_cold = ids.iter().any(|id| limits.is_cold(id));
         let interval = limits.return_interval(ids.into_iter());
         let service = tag(job.service.as_str());
         let wait = state
@@ -147,7 +151,11 @@
             .next_return(service, first, interval, now);
         drop(state);
         let longest = job.time_budget().mul_f64(LIMIT_WAIT_SHARE);
-        let longest = longest.min(MAX_LIMIT_WAIT);
+        let longest = longest.min(if any_cold {
+            MAX_COLD_WAIT
+        } else {
+            MAX_LIMIT_WAIT
+        });
         if limit_wait_ends.is_none() && wait <= longest {
             *limit_wait_ends = Some(now + longest);
             return None;
