--- a/crates/gateway/src/evacuated.rs
+++ b/crates/gateway/src/evacuated.rs
@@ -22,6 +22,17 @@
         let of_service = self.replicas.usable().filter(|r| r.service == *service);
         of_service.filter(|record| !self.evacuations.is_evacuated(&record.zone))
     }
+
+    /// Has the replicas of a zone count as cold from the end of its evacuation, which
+    /// their entries may not say yet.
+    pub fn expect_cold(&mut self, zone: &str, now: Instant) {
+        let Some(ended_at) = self.evacuations.ended_at(zone) else {
+            return;
+        };
+        let in_zone = self.replicas.usable().filter(|record| record.zone == zone);
+        let ids = in_zone.map(|record| &record.id);
+        self.cold_replicas.evacuation_ended(ids, ended_at, now);
+    }
 }
 
 impl<W> Dispatcher<W>
--- a/crates/gateway/src/evacuation_watch.rs
+++ b/crates/gateway/src/evacuation_watch.rs
@@ -71,6 +71,7 @@
 }
 
 /// Logs and counts evacuations that have begun or ended, and has the other gateways told.
+/// The replicas of a zone may be cold when its evacuation ends.
 pub fn record(shared: &Shared, events: &[EvacuationEvent], source: &'static str) {
     for event in events {
         shared.metrics.count("evacuation_changed");
@@ -83,6 +84,9 @@
             source;
             "the evacuation of an availability zone has begun or ended"
         );
+        if !event.began {
+            shared.state().expect_cold(&event.zone, Instant::now());
+        }
     }
     if !events.is_empty() {
         shared.request_heartbeat();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use briarhall_policy::cold_replicas::ColdBound;
 use briarhall_policy::peers::VmName;
 use briarhall_policy::policies::Policy;
 use briarhall_policy::window_budget::BudgetBound;
@@ -45,6 +46,8 @@
     pub min_watch_interval: Duration,
     /// Most gateways of a deployment in which each of them reads the store.
     pub all_read_up_to: usize,
+    /// Bound on requests to cold replicas.
+    pub cold_bound: ColdBound,
     /// Limit on retries.
     pub budget: BudgetBound,
     /// Placement policy for engines.
--- a/crates/types/src/configuration.rs
+++ b/crates/types/src/configuration.rs
@@ -89,6 +89,18 @@
     /// Path of its replicas' health check, if they have one.
     #[serde(default)]
     pub health_path: Option<CompactString>,
+    /// What its replicas take after a start; absent where that is not limited.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdSpec>,
+}
+
+/// What a replica takes after a start, while it is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdSpec {
+    /// Time for which it is cold.
+    pub lasts: Duration,
+    /// Requests a second that it takes meanwhile.
+    pub per_s: f64,
 }
 
 /// Speed and memory of a model engine, as its operator measured it.
