Shares of organisations in a capacity shortage, as a policy

Short and medium prompts that find no room try again each 8 ms without any order, so the organisation that sends most gets most. `SharesInShortage` decides over all gateways who goes first in a shortage: more urgent requests; then organisations that have used less of their max-min fair share, with a floor for large ones; then requests that are large for their kind and have waited. Without a shortage it admits all and reports nothing.

`PromptQueue::work_before_ms` leaves out prompts that are less urgent.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,6 +36,8 @@
 pub mod retry;
 pub mod routes;
 pub mod share_allocator;
+pub mod shares_in_shortage;
+pub mod size_classes;
 pub mod store_checks;
 pub mod suspects;
 pub mod watch_pace;
--- a/crates/policy/src/prompt_queue.rs
+++ b/crates/policy/src/prompt_queue.rs
@@ -141,6 +141,15 @@
         same.map(|entry| f64::from(entry.prompt.prefill_ms)).sum()
     }
 
+    /// Returns the same for the prompts that are at least as urgent as `priority`; the
+    /// others do not go before a prompt of that priority.
+    #[must_use]
+    pub fn work_before_ms(&self, service: u32, priority: u32) -> f64 {
+        let all = self.own.values().chain(self.others.values().flatten());
+        let before = all.filter(|e| e.prompt.service == service && e.prompt.priority <= priority);
+        before.map(|e| f64::from(e.prompt.prefill_ms)).sum()
+    }
+
     /// Returns how many prompts of the same service come before this one.
     #[must_use]
     pub fn ahead_of(&self, key: QueuedPromptKey, now: Instant) -> usize {
