Gateways apply the shares of organisations in a shortage

A gateway asks for a verdict before each attempt to place a request of a service with engines, where the configuration has organisations. Requests that others go before do not try, and leave the queue of long prompts meanwhile, whose head would otherwise hold up those that go first. Requests that cannot have their turn in time are refused at once.

With organisations, `queue_too_long` leaves out less urgent prompts, and a prompt whose organisation is below its share may join a queue that others have filled.

A heartbeat carries the report as a section after its lists, in a shortage only. A test compares the bytes without one with those of the lists; another one skips a section that is not known.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -127,6 +127,7 @@
         state.crashes.remove_expired(now);
         state.crashing_parts.remove_expired(now);
         state.replica_limits.remove_expired(now);
+        state.shortage.known().shares.remove_expired(now);
         let presence = shared.next_presence(&mut state, now);
         update_advertised(&mut state, &presence, now);
         let interval = regular_interval(state.peers.count());
@@ -168,6 +169,7 @@
             limits: state.replica_limits.own_observations(now),
             limited_sends: state.replica_limits.own_sends(now),
             known,
+            shortage: state.shortage.known().shares.report(now),
         };
         drop(state);
         let bytes = self.encode(shared, &mut heartbeat);
@@ -271,6 +273,7 @@
         limits,
         limited_sends,
         known,
+        shortage,
     } = heartbeat;
     if presence.vm == shared.settings.vm && presence.incarnation == shared.incarnation {
         return;
@@ -309,6 +312,10 @@
     state
         .replica_limits
         .set_peer_sends(incarnation, &limited_sends, now);
+    if let Some(report) = shortage {
+        let mut known = state.shortage.known();
+        known.shares.apply_report(incarnation, report, now);
+    }
     let events = leaving
         .iter()
         .filter_map(|replica| state.replicas.record_leaving(replica, HeardBy::Peer));
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -12,10 +12,14 @@
 use briarhall_policy::prompt_queue::QueuedPrompt;
 use briarhall_policy::replica_limits::LimitObservation;
 use briarhall_policy::replica_limits::LimitedSends;
+use briarhall_policy::shares_in_shortage::ShortageReport;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::heartbeat_sections::append_shortage;
+use crate::heartbeat_sections::read_shortage;
+
 /// Longest time in a heartbeat, in milliseconds: a day; no request takes that
 /// long.
 const MAX_TIME_MS: f32 = 86_400_000.0;
@@ -49,6 +53,9 @@
     pub limited_sends: Vec<LimitedSends>,
     /// Gossip addresses of gateways that the sender knows.
     pub known: Vec<SocketAddr>,
+    /// Usage by organisation, in a shortage; a section after the encoded heartbeat.
+    #[serde(skip)]
+    pub shortage: Option<ShortageReport>,
 }
 
 /// Says why a datagram is not a valid heartbeat.
@@ -73,7 +80,12 @@
     /// Never: postcard can encode every type in a heartbeat.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("postcard can encode every type in a heartbeat")
+        let mut bytes =
+            postcard::to_stdvec(self).expect("postcard can encode every type in a heartbeat");
+        if let Some(report) = &self.shortage {
+            append_shortage(&mut bytes, report);
+        }
+        bytes
     }
 
     /// Encodes the heartbeat in at most `max_bytes`, if its lists can be cut so far,
@@ -134,7 +146,8 @@
     /// Returns an error when the bytes do not decode, or when a time is out of
     /// range.
     pub fn decode(bytes: &[u8]) -> Result<Self, HeartbeatError> {
-        let heartbeat = postcard::from_bytes::<Self>(bytes)?;
+        let (mut heartbeat, sections) = postcard::take_from_bytes::<Self>(bytes)?;
+        heartbeat.shortage = read_shortage(sections)?;
         let in_flight = heartbeat.in_flight.iter();
         let queued_prompts = heartbeat.queued_prompts.iter();
         let valid = in_flight.map(|work| work.prefill_ms).all(is_duration)
@@ -149,6 +162,7 @@
             && queued_prompts
                 .map(|prompt| prompt.overdue_in_ms.abs())
                 .all(is_duration)
+            && heartbeat.shortage.iter().all(ShortageReport::is_valid)
             && heartbeat.failed.iter().all(|f| f.penalty.is_finite());
         if !valid {
             return Err(HeartbeatError::InvalidTime);
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -34,6 +34,10 @@
 use crate::request_error::RequestError;
 use crate::reservation::EngineCalls;
 use crate::reservation::Reservation;
+use crate::shortage::Contender;
+use crate::shortage::EngineRequest;
+use crate::shortage::View;
+use crate::state::State;
 use crate::wire::Helper;
 use crate::wire::Wire;
 
@@ -121,17 +125,32 @@
         if let Some(detour) = self.place_detour(job, attempts)? {
             return Ok(detour);
         }
-        if let Some(wait) = self.queue_too_long(job, generated) {
+        let mut contender = self.contender(job, attempts, generated);
+        if let Some(wait) = self.queue_too_long(job, generated)
+            && !contender
+                .as_mut()
+                .is_some_and(|contender| contender.may_join_long_queue(&view(&self.shared.state())))
+        {
             log_queue_too_long(job, wait);
+            let spread =
+                |contender: &Contender| contender.spread(&view(&self.shared.state()), wait);
+            let wait = contender.as_ref().map_or(wait, spread);
             return Err(attempts.final_error().with_retry_after(wait));
         }
-        let queue_position = self.join_queue(job, generated);
+        let mut queue_position = self.join_queue(job, generated);
         let wait_share = if queue_position.is_some() {
             LONG_PROMPT_WAIT_SHARE
         } else {
             WAIT_SHARE
         };
         let until = (job.arrived + job.time_budget().mul_f64(wait_share)).min(job.deadline);
+        if let Some(contender) = &mut contender {
+            let patience = until.saturating_duration_since(Instant::now());
+            if let Some(wait) = contender.enter(&view(&self.shared.state()), patience) {
+                return Err(attempts.final_error().with_retry_after(wait));
+            }
+        }
+        let waits_in_queue = queue_position.is_some();
         loop {
             if self.stops_too_soon(job, generated) {
                 log_no_place(job, "the gateway ends too soon");
@@ -146,23 +165,90 @@
             if let Some(wait) = refused.or_else(unavailable) {
                 return Err(attempts.final_error().with_retry_after(wait));
             }
-            let reason = match self.try_place(job, attempts, generated, queue_position.as_ref()) {
+            if contender.as_mut().is_some_and(Contender::take_news) {
+                self.shared.request_heartbeat();
+            }
+            let behind = contender
+                .as_mut()
+                .is_some_and(|contender| contender.is_behind(&view(&self.shared.state())));
+            if behind {
+                // At the head of the queue it would hold up those that go first.
+                queue_position = None;
+            } else if waits_in_queue && queue_position.is_none() {
+                queue_position = self.join_queue(job, generated);
+            }
+            let placed = if behind {
+                Err(PlacementError::Full)
+            } else {
+                self.try_place(job, attempts, generated, queue_position.as_ref())
+            };
+            let reason = match placed {
                 Ok(placement) => match self.reserve(job, placement).await {
-                    Some(placement) => return Ok(placement),
+                    Some(placement) => {
+                        if let Some(contender) = &contender {
+                            contender.placed();
+                        }
+                        return Ok(placement);
+                    }
                     None => PlacementError::Full,
                 },
                 Err(reason) => reason,
             };
+            if let Some(contender) = contender.as_mut().filter(|_| !behind) {
+                contender.not_placed(reason, Instant::now());
+            }
             if reason == PlacementError::TooLarge
                 || Instant::now() + PLACEMENT_RETRY_INTERVAL >= until
             {
                 log_no_place(job, &reason.to_string());
-                return Err(attempts.final_error());
+                let error = attempts.final_error();
+                return Err(match &mut contender {
+                    Some(contender) => {
+                        let wait = contender.gives_up(&view(&self.shared.state()), reason);
+                        error.with_retry_after(wait)
+                    }
+                    None => error,
+                });
             }
             Timer::after(PLACEMENT_RETRY_INTERVAL).await;
         }
     }
 
+    /// Records that a job asks for engine time. Returns `None` for one to which no share
+    /// applies: without organisations, of a plain service, or which may have run, as only
+    /// this gateway can still give its answer.
+    fn contender(&self, job: &Job, attempts: &Attempts, generated: u64) -> Option<Contender> {
+        let spec = job.engine.as_ref()?;
+        if attempts.may_have_run > 0 || generated > 0 {
+            return None;
+        }
+        if self.shared.settings.placement != Policy::Lanes {
+            return None;
+        }
+        let state = self.shared.state();
+        let current = state.current_configuration.as_ref()?;
+        if !current.table.requires_key() {
+            return None;
+        }
+        let organisation = job.organisation.as_ref();
+        let request = EngineRequest {
+            id: job.head.id.as_str(),
+            service: &job.service,
+            route: job.route.name.as_str(),
+            organisation: organisation.map_or("", |o| o.name.as_str()),
+            priority: job.priority(),
+            spec,
+            prompt: job.prompt(0),
+            arrived: job.arrived,
+            is_new: attempts.tried.is_empty(),
+        };
+        Some(Contender::new(
+            &state.shortage,
+            &self.shared.metrics,
+            &request,
+        ))
+    }
+
     /// Adds a long prompt to the queue; other prompts do not wait in it.
     fn join_queue(&self, job: &Job, generated: u64) -> Option<QueuePosition> {
         let spec = job.engine.as_ref()?;
@@ -275,7 +361,9 @@
     fn record_placement(&self, job: &Job, plan: &Plan<ReplicaId>, known: &KnownState) {
         let metrics = &self.shared.metrics;
         metrics.count("request_placed");
-        metrics.time("request_waited", job.arrived.elapsed());
+        let waited = job.arrived.elapsed();
+        metrics.time("request_waited", waited);
+        metrics.time(length_metric(job), waited);
         let helpers = plan.helpers.join(",");
         log::info!(
             event = "placed",
@@ -316,6 +404,30 @@
     }
 }
 
+/// Returns what a contender needs of the control state.
+fn view(state: &State) -> View<'_> {
+    let now = Instant::now();
+    View {
+        replicas: &state.replicas,
+        load_tracker: &state.load_tracker,
+        pauses: &state.pauses,
+        gateways: state.peers.serving(now).count() + 1,
+        now,
+    }
+}
+
+/// Returns the name of the metric of the waits of a job's length class.
+fn length_metric(job: &Job) -> &'static str {
+    let Some(spec) = &job.engine else {
+        return "request_waited_call";
+    };
+    match placement::length(spec, &job.prompt(0)) {
+        Length::Short => "request_waited_short",
+        Length::Medium => "request_waited_medium",
+        Length::Long => "request_waited_long",
+    }
+}
+
 fn log_queue_too_long(job: &Job, wait: Duration) {
     log::info!(
         event = "line_too_long",
--- a/crates/gateway/src/refusals.rs
+++ b/crates/gateway/src/refusals.rs
@@ -20,10 +20,9 @@
 use crate::job::Job;
 use crate::job::TYPICAL_PREFILL_ENGINES;
 use crate::limits_in_force::LimitsInForce;
+use crate::shortage::LONG_PROMPT_ENGINE_SHARE;
 use crate::wire::Wire;
 
-/// Share of the engines that long prompts get under load.
-const LONG_PROMPT_ENGINE_SHARE: f64 = 0.8;
 /// Share of its remaining time for which a long prompt can wait in the queue
 /// and still be answered in time.
 const MAX_QUEUE_WAIT_SHARE: f64 = 0.45;
@@ -206,7 +205,13 @@
             reason = "counts of replicas are far below 2^52"
         )]
         let engines = engines.count().max(1) as f64 * LONG_PROMPT_ENGINE_SHARE;
-        let work = state.prompt_queue.work_ms(tag(job.service.as_str()));
+        let service = tag(job.service.as_str());
+        let current = state.current_configuration.as_ref();
+        let work = if current.is_some_and(|current| current.table.requires_key()) {
+            state.prompt_queue.work_before_ms(service, job.priority())
+        } else {
+            state.prompt_queue.work_ms(service)
+        };
         drop(state);
         let own = engine::prefill_ms(spec, prompt.tokens, 1);
         let wait = Duration::from_secs_f64((work + own) / engines / 1_000.0);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -42,6 +42,7 @@
 use briarhall_types::StorePosition;
 
 use crate::settings::Settings;
+use crate::shortage::Shortage;
 use crate::start::session_limits;
 
 /// Number of gateways that are assumed to share a retry budget even when fewer
@@ -98,6 +99,8 @@
     pub load_tracker: LoadTracker,
     /// Long prompts that wait for engines, here and at peers.
     pub prompt_queue: PromptQueue,
+    /// Usage by organisation, for shortages of capacity.
+    pub shortage: Shortage,
     /// Other gateways.
     pub peers: Peers,
     /// Client requests that arrive at this gateway.
@@ -176,6 +179,7 @@
             crashing_parts: CrashingParts::default(),
             load_tracker: LoadTracker::default(),
             prompt_queue: PromptQueue::default(),
+            shortage: Shortage::default(),
             peers: Peers::default(),
             request_rate: RequestRate::default(),
             advertised: false,
--- a/crates/gateway/tests/heartbeat.rs
+++ b/crates/gateway/tests/heartbeat.rs
@@ -31,6 +31,14 @@
 use briarhall_policy::replica_limits::MAX_TURN;
 use briarhall_policy::replica_limits::ReplicaLimits;
 use briarhall_policy::replicas::Replicas;
+use briarhall_policy::shares_in_shortage::Asking;
+use briarhall_policy::shares_in_shortage::Claim;
+use briarhall_policy::shares_in_shortage::Lane;
+use briarhall_policy::shares_in_shortage::NoRoom;
+use briarhall_policy::shares_in_shortage::SharesInShortage;
+use briarhall_policy::shares_in_shortage::ShortageReport;
+use briarhall_policy::shares_in_shortage::Usage;
+use briarhall_policy::shares_in_shortage::Verdict;
 use briarhall_types::StorePosition;
 
 fn address(n: u8) -> SocketAddr {
@@ -124,6 +132,90 @@
             3
         ],
         known: vec![address(4), address(5)],
+        shortage: None,
+    }
+}
+
+/// Returns a heartbeat of a gateway that knows of a shortage.
+fn heartbeat_in_shortage() -> Heartbeat {
+    let claim = Claim {
+        service: 3,
+        lane: Lane::Slots,
+        priority: 1,
+        organisation: 11,
+    };
+    let usage = Usage {
+        claim,
+        used_ms: 4_000.0,
+        wanted_ms: 9_000.0,
+        waiting_ms: 400.0,
+        waiting: 2,
+        large: 1,
+    };
+    let no_room = NoRoom {
+        service: 3,
+        lane: Lane::Slots,
+        priority: 1,
+        age_ms: 20,
+    };
+    Heartbeat {
+        shortage: Some(ShortageReport {
+            no_room: vec![no_room],
+            usage: vec![usage; 3],
+        }),
+        ..heartbeat()
+    }
+}
+
+/// Guards against other bytes of heartbeats where there is no shortage.
+#[test]
+fn a_heartbeat_without_a_shortage_has_only_its_lists() {
+    let all = heartbeat();
+    let lists = (
+        all.presence,
+        all.interval_ms,
+        all.in_flight,
+        all.queued_prompts,
+        all.observations,
+        all.crashing_parts,
+        all.failed,
+        all.leaving,
+        all.limits,
+        all.limited_sends,
+        all.known,
+    );
+    let bytes = postcard::to_stdvec(&lists).expect("it can be encoded");
+    assert_eq!(heartbeat().encode(), bytes);
+}
+
+/// Guards against gateways that reject a section which only later builds know, or lose
+/// what follows it.
+#[test]
+fn an_unknown_section_is_skipped() {
+    let plain = heartbeat().encode();
+    let section = postcard::to_stdvec(&(200_u8, [1_u8, 2, 3].as_slice()));
+    let mut bytes = plain.clone();
+    bytes.extend(section.expect("it can be encoded"));
+    bytes.extend(&heartbeat_in_shortage().encode()[plain.len()..]);
+    let decoded = Heartbeat::decode(&bytes);
+    assert_eq!(decoded.as_ref(), Ok(&heartbeat_in_shortage()));
+}
+
+#[test]
+fn a_shortage_report_decodes_to_what_was_encoded() {
+    let sent = heartbeat_in_shortage();
+    assert_eq!(Heartbeat::decode(&sent.encode()).as_ref(), Ok(&sent));
+    apply(sent);
+}
+
+/// Guards against a report whose numbers end a division or a duration.
+#[test]
+fn a_shortage_report_with_impossible_numbers_is_rejected() {
+    for ms in [f32::NAN, f32::INFINITY, -1.0] {
+        let mut invalid = heartbeat_in_shortage();
+        let report = invalid.shortage.as_mut().expect("it has one");
+        report.usage[1].waiting_ms = ms;
+        assert!(Heartbeat::decode(&invalid.encode()).is_err(), "{ms}");
     }
 }
 
@@ -201,7 +293,7 @@
 }
 
 fn damaged(damages: &[Damage]) -> Vec<u8> {
-    let mut bytes = heartbeat().encode();
+    let mut bytes = heartbeat_in_shortage().encode();
     for damage in damages {
         let within = |at: u16| usize::from(at) % bytes.len().max(1);
         match *damage {
@@ -239,6 +331,7 @@
         limits,
         limited_sends,
         known,
+        shortage,
     } = heartbeat;
     let vm = presence.vm.clone();
     let incarnation = presence.incarnation;
@@ -265,6 +358,27 @@
         let event = replicas.record_leaving(replica, HeardBy::Peer);
         assert_eq!(event, None, "the registry lists no such replica");
     }
+    let mut shares = SharesInShortage::default();
+    let claims = shortage.iter().flat_map(|report| &report.usage);
+    let claims = claims.map(|usage| usage.claim).collect::<Vec<_>>();
+    if let Some(report) = shortage {
+        shares.apply_report(incarnation, report, now);
+    }
+    for claim in claims {
+        let asking = Asking {
+            claim,
+            large: false,
+            free: 0,
+            slots: 100,
+            capacity: None,
+            patience: Some(Duration::from_millis(600)),
+        };
+        if let Verdict::Refuse(_, wait) = shares.verdict(&asking, now) {
+            assert!(wait <= Duration::from_mins(1), "{wait:?}");
+        }
+        let back = shares.next_return(&asking, 200.0, Duration::ZERO, 14, now);
+        assert!(back <= Duration::from_mins(1), "{back:?}");
+    }
     let mut replica_limits = ReplicaLimits::default();
     replica_limits.apply_observations(&limits, now);
     replica_limits.set_peer_sends(incarnation, &limited_sends, now);
--- a/crates/policy/src/shares_in_shortage.rs
+++ b/crates/policy/src/shares_in_shortage.rs
@@ -498,6 +498,20 @@
         Verdict::Admit
     }
 
+    /// Returns whether a service lacks room, and an organisation has used less than its
+    /// share together with what waits.
+    #[must_use]
+    pub fn is_below_share(&self, asking: &Asking, now: Instant) -> bool {
+        let claim = asking.claim;
+        let table = self.table(claim.service, now);
+        let rank = table.ranks.get(&(claim.lane, claim.priority));
+        rank.is_some_and(|rank| {
+            let own = rank.get(&claim.organisation).copied().unwrap_or_default();
+            let shares = Shares::new(rank, table.carried(&claim), asking.capacity);
+            shares.level.is_finite() && own.used + own.waiting_ms < shares.of(&own)
+        })
+    }
+
     /// Returns how long more urgent requests occupy what they compete for, in
     /// milliseconds, if some of them wait and lack room.
     fn more_urgent(&self, table: &Table, asking: &Asking, now: Instant) -> Option<f64> {
