Shares in a shortage: fewer refusals of organisations near their share

Small organisations were refused at once when their few requests of a window exceeded their share by chance, and the flood got a third of the mean where a quarter is required. Now one request at a time waits instead, one slot in 24 is reserved instead of 32, and the floor is 0.26.

--- a/crates/policy/src/shares_in_shortage.rs
+++ b/crates/policy/src/shares_in_shortage.rs
@@ -49,10 +49,13 @@
 pub const MAX_REPORTED: usize = 64;
 /// Part of the mean served share below which no organisation falls. The requirement is a
 /// quarter; the rest allows for stale views.
-const MIN_SERVED: f64 = 0.3;
+const MIN_SERVED: f64 = 0.26;
 /// Part of a share by which an organisation has used more of its own than another one
 /// before it waits behind it: about a request in ten.
 const MIN_AHEAD: f64 = 0.1;
+/// Part of its share that an organisation has used up to which one request of it waits
+/// rather than being refused: few requests in a window vary by as much.
+const MAX_FILLED_TO_WAIT: f64 = 1.5;
 /// Halvings of the interval in which the level of the shares is sought: the error is
 /// below a millionth of the largest demand.
 const LEVEL_STEPS: usize = 24;
@@ -61,7 +64,7 @@
 const MAX_RETURN: Duration = Duration::from_secs(5);
 /// One slot in so many is left to those that go first, as they are known to wait only
 /// when a report has come: by then others would have taken each slot that became free.
-const SLOTS_PER_RESERVED: usize = 32;
+const SLOTS_PER_RESERVED: usize = 24;
 /// Longest time in an answer to a caller.
 const MAX_WAIT: Duration = Duration::from_mins(1);
 
@@ -484,6 +487,9 @@
         if needier.peek().is_some() {
             let waiting = needier.map(|sums| sums.waiting).sum::<usize>();
             if asking.is_contended(waiting) {
+                if own.waiting == 0 && filled < MAX_FILLED_TO_WAIT {
+                    return Verdict::Behind(Reason::Share);
+                }
                 return refuse_or(Reason::Share, own_wait_ms, Verdict::Behind(Reason::Share));
             }
         }
