--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -132,6 +132,7 @@
         state.crashes.remove_expired(now);
         state.crashing_parts.remove_expired(now);
         state.replica_limits.remove_expired(now);
+        state.shortage.known().shares.remove_expired(now);
         let presence = shared.next_presence(&mut state, now);
         update_advertised(&mut state, &presence, now);
         state.update_cold_replicas(&presence, &shared.metrics, now);
@@ -177,6 +178,7 @@
             evacuations: state.evacuations.report(now),
             known,
             cold: state.cold_replicas.own_report(now),
+            shortage: state.shortage.known().shares.report(now),
         };
         drop(state);
         let bytes = self.encode(shared, &mut heartbeat);
@@ -286,6 +288,7 @@
         evacuations,
         known,
         cold,
+        shortage,
     } = heartbeat;
     if presence.vm == shared.settings.vm && presence.incarnation == shared.incarnation {
         return;
@@ -325,6 +328,10 @@
         .replica_limits
         .set_peer_sends(incarnation, &limited_sends, now);
     state.cold_replicas.apply_report(incarnation, &cold, now);
+    if let Some(report) = shortage {
+        let mut known = state.shortage.known();
+        known.shares.apply_report(incarnation, report, now);
+    }
     let events = leaving
         .iter()
         .filter_map(|replica| state.replicas.record_leaving(replica, HeardBy::Peer));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -47,6 +47,7 @@
 use crate::cold;
 use crate::session_limits::session_limits;
 use crate::settings::Settings;
+use crate::shortage::Shortage;
 
 /// Number of gateways that are assumed to share a retry budget even when fewer
 /// are known: a gateway that is cut off must not spend the others' share.
@@ -106,6 +107,8 @@
     pub load_tracker: LoadTracker,
     /// Long prompts that wait for engines, here and at peers.
     pub prompt_queue: PromptQueue,
+    /// Usage by organisation, for shortages of capacity.
+    pub shortage: Shortage,
     /// Other gateways.
     pub peers: Peers,
     /// Whether this gateway reads the store.
@@ -188,6 +191,7 @@
             crashing_parts: CrashingParts::default(),
             load_tracker: LoadTracker::default(),
             prompt_queue: PromptQueue::default(),
+            shortage: Shortage::default(),
             peers: Peers::default(),
             store_readers: StoreReaders::new(settings.all_read_up_to, settings.in_force_within),
             request_rate: RequestRate::default(),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,8 @@
 pub mod retry;
 pub mod routes;
 pub mod share_allocator;
+pub mod shares_in_shortage;
+pub mod size_classes;
 pub mod store_checks;
 pub mod store_readers;
 pub mod suspects;
