Bound times from outside, and start needed tasks again after a panic

What callers see: a request with a deadline that no clock counts, or to a route or engine whose stated times and figures are extreme, gets an answer.

Cause: such times were added to an instant, multiplied or converted from a float, which panics. The task that answers ended with the panic, unlogged. A task that the process needs, such as the one that follows the store, would have been gone in the same way.

Detached tasks catch a panic and log it. Those that run for the life of a gateway are kept running: whenever one ends, that is logged and it is started again.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use briarhall_net::HttpClient;
 use briarhall_net::HttpError;
 use briarhall_policy::departures::ReplicaProcess;
+use briarhall_policy::engine;
 use briarhall_policy::health::SendOutcome;
 use briarhall_types::ReplicaId;
 use hyper::Request;
@@ -147,7 +148,7 @@
         let req = self.request(job, placement, resume_after);
         let address = placement.replica.address;
         let exchange = self.client.start(address, req, CONNECT_TIMEOUT);
-        let predicted = Duration::from_secs_f64(placement.predicted_ms.max(0.0) / 1_000.0);
+        let predicted = engine::predicted_time(placement.predicted_ms);
         let exchange = await_head(&self.shared, opened_at, predicted, exchange);
         let limit = patience.limit();
         let exchange = match patience.wait(exchange).await {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -38,6 +38,8 @@
 const EVENT_TIMEOUT_PAUSES: u32 = 8;
 /// Time limit of a request when neither client nor route states one.
 const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
+/// Longest time limit of a request; clients and routes may state times that no clock counts.
+const MAX_DEADLINE: Duration = Duration::from_hours(24);
 /// Engines that typically share a long prompt under load: half of the maximum.
 pub const TYPICAL_PREFILL_ENGINES: usize = 8;
 /// Share of an objective that a plan may use; the rest is left for the steps of
@@ -97,10 +99,11 @@
     let pause = route.pause_objective.unwrap_or(DEFAULT_PAUSE_OBJECTIVE);
     let bounds = [
         MIN_EVENT_TIMEOUT,
-        objective * EVENT_TIMEOUT_OBJECTIVES,
-        pause * EVENT_TIMEOUT_PAUSES,
+        objective.saturating_mul(EVENT_TIMEOUT_OBJECTIVES),
+        pause.saturating_mul(EVENT_TIMEOUT_PAUSES),
     ];
-    bounds.into_iter().max().unwrap_or(MIN_EVENT_TIMEOUT)
+    let longest = bounds.into_iter().max().unwrap_or(MIN_EVENT_TIMEOUT);
+    longest.min(MAX_DEADLINE)
 }
 
 /// Returns the deadline of a request.
@@ -108,7 +111,7 @@
 pub fn deadline(head: &RequestHead, route: &Route, arrived: Instant) -> Instant {
     let limits = [head.deadline, route.timeout];
     let limit = limits.into_iter().flatten().min();
-    arrived + limit.unwrap_or(DEFAULT_DEADLINE)
+    arrived + limit.unwrap_or(DEFAULT_DEADLINE).min(MAX_DEADLINE)
 }
 
 impl Job {
--- a/crates/gateway/src/refusals.rs
+++ b/crates/gateway/src/refusals.rs
@@ -179,7 +179,7 @@
         let needed = job.engine.as_ref().map_or(CALL_DURATION, |spec| {
             let tokens = job.prompt(generated).tokens;
             let prefill = engine::prefill_ms(spec, tokens, TYPICAL_PREFILL_ENGINES);
-            STREAM_DURATION + Duration::from_secs_f64(prefill / 1_000.0)
+            STREAM_DURATION + engine::predicted_time(prefill)
         });
         Instant::now() + needed > stop_deadline
     }
@@ -209,7 +209,7 @@
         let work = state.prompt_queue.work_ms(tag(job.service.as_str()));
         drop(state);
         let own = engine::prefill_ms(spec, prompt.tokens, 1);
-        let wait = Duration::from_secs_f64((work + own) / engines / 1_000.0);
+        let wait = engine::predicted_time((work + own) / engines);
         (wait > job.time_left().mul_f64(MAX_QUEUE_WAIT_SHARE)).then_some(wait)
     }
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -43,6 +43,15 @@
 use crate::store_check::StoreCheck;
 use crate::wire::Wire;
 
+/// Keeps a task running for the life of the process, with clones of its arguments.
+macro_rules! keep_running {
+    ($executor:ident, $task:literal, $($run:ident)::+ ($($arg:ident),+)) => {{
+        let running = $executor.clone();
+        $(let $arg = $arg.clone();)+
+        running.keep_running($task, move || $($run)::+($($arg.clone()),+));
+    }};
+}
+
 /// Runs a gateway until it receives a stop signal.
 ///
 /// # Errors
@@ -90,49 +99,49 @@
     let configuration_returns = store_check.returns();
     let replica_returns = store_check.returns();
     let pause_guard = PauseGuard::new(store_check.followers(), shared.metrics.clone());
-    executor.detach(pause_guard.clone().run());
-    executor.detach(gossip::receive(
-        Arc::clone(&shared),
-        socket.clone(),
-        pause_guard.clone(),
-    ));
-    executor.detach(gossip::send(
-        Arc::clone(&shared),
-        socket,
-        requests.heartbeats,
-    ));
-    executor.detach(gossip::remove_down_peers(Arc::clone(&shared)));
-    executor.detach(follow(
-        configuration,
-        interval,
-        configuration_returns,
-        pause_guard.clone(),
-    ));
+    keep_running!(executor, "pauses", PauseGuard::run(pause_guard));
+    keep_running!(
+        executor,
+        "heartbeats_in",
+        gossip::receive(shared, socket, pause_guard)
+    );
+    let heartbeats = requests.heartbeats;
+    keep_running!(
+        executor,
+        "heartbeats_out",
+        gossip::send(shared, socket, heartbeats)
+    );
+    keep_running!(executor, "peers", gossip::remove_down_peers(shared));
+    keep_running!(
+        executor,
+        "configuration",
+        follow(configuration, interval, configuration_returns, pause_guard)
+    );
     let replicas = FollowedReplicas {
         shared: Arc::clone(&shared),
         plane,
     };
-    executor.detach(follow(
-        replicas,
-        interval,
-        replica_returns,
-        pause_guard.clone(),
-    ));
-    executor.detach(store_check.run());
-    executor.detach(replica_watch::expire(Arc::clone(&shared)));
-    executor.detach(relay::catch_up(Arc::clone(&shared), client.clone()));
-    executor.detach(crash_check::run(
-        Arc::clone(&shared),
-        client.clone(),
-        executor.clone(),
-        requests.failed,
-    ));
-    executor.detach(reach_check::run(Arc::clone(&shared), client.clone()));
-    executor.detach(reach_check::run_on_request(
-        Arc::clone(&shared),
-        client.clone(),
-        requests.link_checks,
-    ));
+    keep_running!(
+        executor,
+        "replicas",
+        follow(replicas, interval, replica_returns, pause_guard)
+    );
+    keep_running!(executor, "store_check", StoreCheck::run(store_check));
+    keep_running!(executor, "expiry", replica_watch::expire(shared));
+    keep_running!(executor, "relay", relay::catch_up(shared, client));
+    let failed = requests.failed;
+    keep_running!(
+        executor,
+        "crash_check",
+        crash_check::run(shared, client, executor, failed)
+    );
+    keep_running!(executor, "reach_check", reach_check::run(shared, client));
+    let link_checks = requests.link_checks;
+    keep_running!(
+        executor,
+        "link_check",
+        reach_check::run_on_request(shared, client, link_checks)
+    );
     let client_requests = ClientRequests {
         dispatcher: Dispatcher {
             wire: wire.clone(),
--- a/crates/gateway/src/store_check.rs
+++ b/crates/gateway/src/store_check.rs
@@ -18,7 +18,7 @@
 pub type StoreReturns = Receiver<()>;
 
 /// Checks the store at a regular interval for the life of the process.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct StoreCheck<C> {
     shared: Arc<Shared>,
     plane: C,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -16,6 +16,7 @@
 use briarhall_net::Framing;
 use briarhall_net::read_within;
 use briarhall_net::timeout;
+use briarhall_policy::engine;
 use briarhall_policy::health::SendOutcome;
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -152,7 +153,7 @@
     W: Wire,
 {
     let left = job.time_left().saturating_sub(RESPONSE_MARGIN);
-    let predicted = Duration::from_secs_f64(placement.predicted_ms.max(0.0) / 1_000.0);
+    let predicted = engine::predicted_time(placement.predicted_ms);
     let event_timeout = event_timeout(&job.route);
     let silence = predicted
         .mul_f64(FIRST_EVENT_PREDICTION_FACTOR)
--- a/crates/net/src/exec.rs
+++ b/crates/net/src/exec.rs
@@ -4,19 +4,28 @@
 //! on a thread with an executor of its own, so that neither can starve the
 //! other.
 
+use std::any::Any;
 use std::fmt;
 use std::future::pending;
 use std::io;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use async_executor::Executor as AsyncExecutor;
 use async_executor::Task;
+use async_io::Timer;
+use futures_lite::FutureExt;
 use thiserror::Error;
 use tokio::runtime::Builder;
 use tokio::runtime::EnterGuard;
 use tokio::runtime::Runtime;
 
+/// Delay after the end of a task that is to run for the life of the process: one that ends at
+/// once must not use up the processor.
+const RESTART_DELAY: Duration = Duration::from_millis(100);
+
 /// A handle to an executor; cloning it is cheap.
 #[derive(Clone, Default)]
 pub struct Executor {
@@ -39,12 +48,39 @@
         self.inner.spawn(fut)
     }
 
-    /// Starts a task that runs to completion without a handle.
+    /// Starts a task that runs to completion without a handle. A panic in it is logged and ends
+    /// nothing else.
     pub fn detach<F>(&self, fut: F)
     where
         F: Future<Output = ()> + Send + 'static,
     {
-        self.inner.spawn(fut).detach();
+        let caught = async {
+            if let Err(panic) = AssertUnwindSafe(fut).catch_unwind().await {
+                let reason = panic_text(panic.as_ref());
+                log::error!(event = "task_panicked", reason; "a task has panicked");
+            }
+        };
+        self.inner.spawn(caught).detach();
+    }
+
+    /// Starts a task that is to run for the life of the process. When it ends or panics, that
+    /// is logged and `start` is called again.
+    pub fn keep_running<S, F>(&self, task: &'static str, start: S)
+    where
+        S: Fn() -> F + Send + 'static,
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.detach(async move {
+            loop {
+                let ended = AssertUnwindSafe(start()).catch_unwind().await;
+                let reason = match &ended {
+                    Ok(()) => "it returned",
+                    Err(panic) => panic_text(panic.as_ref()),
+                };
+                log::error!(event = "task_ended", task, reason; "a task that runs for the life of the process has ended; starting it again");
+                Timer::after(RESTART_DELAY).await;
+            }
+        });
     }
 
     /// Runs the executor on this thread until `fut` ends.
@@ -56,6 +92,13 @@
     }
 }
 
+/// Returns the message of a panic.
+fn panic_text(panic: &(dyn Any + Send)) -> &str {
+    let text = panic.downcast_ref::<String>().map(String::as_str);
+    let text = text.or_else(|| panic.downcast_ref::<&str>().copied());
+    text.unwrap_or("no message")
+}
+
 /// An error that occurs when a thread cannot be started.
 #[derive(Debug, Error)]
 #[error(
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -5,8 +5,14 @@
 //! to a chunk of waiting prompts. So every prefill beside them lengthens the
 //! pause between their events.
 
+use std::time::Duration;
+
 use briarhall_types::EngineSpec;
 
+/// Longest time that is computed from the figures of an engine: longer than any request. They
+/// may be anything.
+const MAX_PREDICTION_MS: f64 = 3_600_000.0;
+
 /// Returns the time to prefill a prompt of `tokens` alone, in milliseconds,
 /// when `parts` engines share it evenly.
 #[must_use]
@@ -49,3 +55,10 @@
     let contexts = context as f64 / 1_000.0 * spec.context_per_k_ms;
     spec.step_ms + decoding as f64 * spec.per_request_ms + contexts
 }
+
+/// Returns a time that was computed from the figures of an engine, in milliseconds.
+#[must_use]
+pub fn predicted_time(ms: f64) -> Duration {
+    // `max` also replaces what is not a number.
+    Duration::from_secs_f64(ms.max(0.0).min(MAX_PREDICTION_MS) / 1_000.0)
+}
