--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use async_channel::Receiver;
 use async_net::TcpListener;
 use async_net::UdpSocket;
 use async_signal::Signal;
@@ -100,18 +101,13 @@
     let replica_returns = store_check.returns();
     let pause_guard = PauseGuard::new(store_check.followers(), shared.metrics.clone());
     keep_running!(executor, "pauses", PauseGuard::run(pause_guard));
-    keep_running!(
-        executor,
-        "heartbeats_in",
-        gossip::receive(shared, socket, pause_guard)
-    );
-    let heartbeats = requests.heartbeats;
-    keep_running!(
-        executor,
-        "heartbeats_out",
-        gossip::send(shared, socket, heartbeats)
+    exchange_heartbeats(
+        &executor,
+        &shared,
+        &socket,
+        &requests.heartbeats,
+        &pause_guard,
     );
-    keep_running!(executor, "peers", gossip::remove_down_peers(shared));
     keep_running!(
         executor,
         "configuration",
@@ -179,6 +175,34 @@
     shared.limit_sessions(sessions.clone());
     let listener = listen("front", settings.client_address)?;
     executor.detach(sessions.clone().serve(listener, client_requests));
+    stop_signal(&mut signals).await?;
+    stop(&shared, &sessions, end_sessions).await;
+    Ok(())
+}
+
+/// Exchanges heartbeats with other gateways.
+fn exchange_heartbeats(
+    executor: &Executor,
+    shared: &Arc<Shared>,
+    socket: &UdpSocket,
+    requests: &Receiver<()>,
+    pause_guard: &PauseGuard,
+) {
+    keep_running!(
+        executor,
+        "heartbeats_in",
+        gossip::receive(shared, socket, pause_guard)
+    );
+    keep_running!(
+        executor,
+        "heartbeats_out",
+        gossip::send(shared, socket, requests)
+    );
+    keep_running!(executor, "peers", gossip::remove_down_peers(shared));
+}
+
+/// Waits for a signal that asks the process to stop.
+async fn stop_signal(signals: &mut Signals) -> Result<(), StartError> {
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Hup) => {
@@ -188,7 +212,6 @@
             Err(e) => return Err(StartError::Signals(e)),
         }
     }
-    stop(&shared, &sessions, end_sessions).await;
     Ok(())
 }
 
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -59,6 +59,10 @@
 /// Returns a time that was computed from the figures of an engine, in milliseconds.
 #[must_use]
 pub fn predicted_time(ms: f64) -> Duration {
-    // `max` also replaces what is not a number.
-    Duration::from_secs_f64(ms.max(0.0).min(MAX_PREDICTION_MS) / 1_000.0)
+    let ms = if ms.is_nan() {
+        0.0
+    } else {
+        ms.clamp(0.0, MAX_PREDICTION_MS)
+    };
+    Duration::from_secs_f64(ms / 1_000.0)
 }
