--- a/crates/policy/benches/placement.rs
+++ b/crates/policy/benches/placement.rs
@@ -102,6 +102,7 @@
         slots: 16,
         load: loads.get(&key).cloned().unwrap_or_default(),
         penalty: 0.0,
+        pace: 1.0,
         same_zone: true,
         only_helps: false,
     };
--- a/crates/policy/src/placement/cost.rs
+++ b/crates/policy/src/placement/cost.rs
@@ -38,16 +38,18 @@
     tokens as f64 <= spec.kv_tokens as f64 * MAX_KV_FILL
 }
 
-/// Returns the fraction of a candidate's slots that are in use.
+/// Returns the fraction of a candidate's slots that are in use; those of a slow engine
+/// are in use for longer and count as more.
 pub(super) fn slot_utilization<K>(candidate: &Candidate<K>) -> f64 {
-    ratio(candidate.load.requests, candidate.slots.max(1))
+    ratio(candidate.load.requests, candidate.slots.max(1)) * candidate.pace
 }
 
 /// Returns the duration of the next pass with `prefill` more milliseconds of
 /// prefill in it, in milliseconds.
 pub(super) fn pass_ms<K>(spec: &EngineSpec, candidate: &Candidate<K>, prefill: f64) -> f64 {
     let load = &candidate.load;
-    decode_pass_ms(spec, load.decoding.len(), load.kv_tokens) + load.backlog_ms + prefill
+    let decode = decode_pass_ms(spec, load.decoding.len(), load.kv_tokens);
+    (decode + load.backlog_ms + prefill) * candidate.pace
 }
 
 /// Returns the predicted time to the first event, in milliseconds: half of the
@@ -57,7 +59,7 @@
     let load = &candidate.load;
     let decode = decode_pass_ms(spec, load.decoding.len(), load.kv_tokens);
     let running = if load.requests > 0 { decode / 2.0 } else { 0.0 };
-    running + load.backlog_ms + prefill + decode
+    (running + load.backlog_ms + prefill + decode) * candidate.pace
 }
 
 /// Returns whether `prefill` more milliseconds of prefill would make an event of
--- a/crates/policy/src/placement/long.rs
+++ b/crates/policy/src/placement/long.rs
@@ -26,7 +26,7 @@
 const PART_COUNTS: [usize; 10] = [1, 2, 3, 4, 6, 8, 10, 12, 14, 16];
 /// Longest accepted pause, in milliseconds, with which a request cannot decode
 /// beside long prefills.
-const TIGHT_PAUSE_MS: u32 = 400;
+pub(super) const TIGHT_PAUSE_MS: u32 = 400;
 /// Engines reserved for short prompts, as a multiple of those they need now.
 const SHORT_LANE_HEADROOM: f64 = 1.25;
 /// Backlog, in milliseconds, up to which an engine counts as free for a long
@@ -159,6 +159,22 @@
 ) -> Result<Plan<K>, PlacementError>
 where
     K: Clone,
+{
+    long_beside(spec, prompt, urgency, candidates, short_lane_size)
+}
+
+/// Chooses engines for the long prompt that is first in the queue, behind the lane of
+/// short prompts at the front of the order.
+pub(super) fn long_beside<K, L>(
+    spec: &EngineSpec,
+    prompt: &Prompt,
+    urgency: Urgency,
+    candidates: &[Candidate<K>],
+    lane_size: L,
+) -> Result<Plan<K>, PlacementError>
+where
+    K: Clone,
+    L: Fn(&[&Candidate<K>]) -> usize,
 {
     let ordered = in_order(candidates)?;
     let max_parts = MAX_PARTS.min(ordered.len());
@@ -166,7 +182,7 @@
     if !fits_in_memory(spec, smallest) {
         return Err(PlacementError::TooLarge);
     }
-    let short_lane_size = short_lane_size(&ordered);
+    let short_lane_size = lane_size(&ordered);
     let free = ordered.into_iter().enumerate().skip(short_lane_size);
     let free = free.filter(|(_, c)| is_free(c));
     let free = free.collect::<Vec<_>>();
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -8,6 +8,7 @@
 
 mod baseline;
 mod cost;
+pub mod even;
 mod long;
 mod short;
 
@@ -70,6 +71,9 @@
     /// How much to avoid it: 0 for a healthy replica, 1 or more for one that
     /// just failed.
     pub penalty: f64,
+    /// Time that work takes there, relative to an engine that runs as its operator
+    /// measured: 1 for such an engine, 2 for one that is half as fast.
+    pub pace: f64,
     /// Whether it runs in this gateway's availability zone.
     pub same_zone: bool,
     /// Whether it takes no request now, but may prefill a part of one that another
@@ -122,7 +126,8 @@
     K: Clone,
 {
     let cost = |candidate: &Candidate<K>| {
-        let utilization = candidate.load.requests as f64 / candidate.slots.max(1) as f64;
+        let work = (candidate.load.requests + 1) as f64 * candidate.pace - 1.0;
+        let utilization = work / candidate.slots.max(1) as f64;
         let zone_cost = if candidate.same_zone {
             0.0
         } else {
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -64,6 +64,7 @@
         slots: SLOTS,
         load,
         penalty: 0.0,
+        pace: 1.0,
         same_zone: true,
         only_helps: false,
     }
--- a/crates/policy/tests/policies.rs
+++ b/crates/policy/tests/policies.rs
@@ -58,6 +58,7 @@
             ..Load::default()
         },
         penalty: 0.0,
+        pace: 1.0,
         same_zone: true,
         only_helps: false,
     });
--- a/crates/policy/tests/stale_views.rs
+++ b/crates/policy/tests/stale_views.rs
@@ -77,6 +77,7 @@
         slots: SLOTS,
         load,
         penalty: 0.0,
+        pace: 1.0,
         same_zone: true,
         only_helps: false,
     });
