Read the delays between availability zones from the configuration

Cause: the age of what gateways know of each other's work includes the delay of the links, for which a constant stands in.

Nothing uses them yet; relays without the field are read as before.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,3 +40,4 @@
 pub mod suspects;
 pub mod watch_pace;
 pub mod window_budget;
+pub mod zone_delays;
--- a/crates/policy/src/routes.rs
+++ b/crates/policy/src/routes.rs
@@ -12,6 +12,8 @@
 use briarhall_types::ServiceName;
 use compact_str::CompactString;
 
+use crate::zone_delays::ZoneDelays;
+
 /// Index of routes, organisations and engines; built once per version.
 #[derive(Debug, Clone)]
 pub struct RouteTable {
@@ -20,6 +22,7 @@
     by_host: HashMap<CompactString, Vec<Arc<Route>>>,
     by_key: HashMap<CompactString, Arc<Organisation>>,
     engines: HashMap<ServiceName, Arc<EngineSpec>>,
+    delays: ZoneDelays,
     requires_key: bool,
 }
 
@@ -43,6 +46,7 @@
                 by_key.insert(key.clone(), Arc::clone(&organisation));
             }
         }
+        let delays = ZoneDelays::new(&configuration.services);
         let engines = configuration.services.into_iter();
         let engines = engines.filter_map(|s| Some((s.name, Arc::new(s.engine?))));
         Self {
@@ -51,6 +55,7 @@
             by_host,
             by_key,
             engines: engines.collect(),
+            delays,
             requires_key,
         }
     }
@@ -89,6 +94,12 @@
         self.by_key.get(key)
     }
 
+    /// Returns the delays of the links between availability zones.
+    #[must_use]
+    pub fn delays(&self) -> &ZoneDelays {
+        &self.delays
+    }
+
     /// Returns the engine parameters of a service; `None` for a plain service.
     #[must_use]
     pub fn engine(&self, service: &str) -> Option<&Arc<EngineSpec>> {
--- a/crates/types/src/configuration.rs
+++ b/crates/types/src/configuration.rs
@@ -9,6 +9,7 @@
 
 use crate::CustomerName;
 use crate::ServiceName;
+use crate::ZoneName;
 
 /// Name of a route, unique within a configuration.
 pub type RouteName = CompactString;
@@ -86,6 +87,20 @@
     pub name: ServiceName,
     /// Speed of its engines; absent for a plain service.
     pub engine: Option<EngineSpec>,
+    /// Delays of the links between availability zones, where they are stated.
+    #[serde(default)]
+    pub delays: Vec<ZoneDelay>,
+}
+
+/// Delay of the link from one availability zone to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneDelay {
+    /// Zone of the sender.
+    pub from: ZoneName,
+    /// Zone of the receiver.
+    pub to: ZoneName,
+    /// Time until a message arrives.
+    pub delay: Duration,
 }
 
 /// Speed and memory of a model engine, as its operator measured it.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -25,6 +25,7 @@
 pub use configuration::RouteName;
 pub use configuration::ServiceSpec;
 pub use configuration::Target;
+pub use configuration::ZoneDelay;
 pub use contract::CallLimits;
 pub use contract::Contract;
 pub use contract::ContractProblem;
