Draw among equally loaded engines at random, and compare the busiest with the mean

Cause: a sample keeps the order of the engines, and the first of the least loaded was taken.

Change: the drawn engines are shuffled. busiest_to_mean gives the ratio that operators will see.

--- a/crates/policy/src/placement/even.rs
+++ b/crates/policy/src/placement/even.rs
@@ -11,6 +11,7 @@
 use briarhall_types::EngineSpec;
 use rand::Rng;
 use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
 
 use super::Candidate;
 use super::HEALTHY_BELOW_PENALTY;
@@ -54,6 +55,16 @@
 /// ended unseen, and each more would make the choices of gateways more alike.
 const MAX_COMPARED: usize = 4;
 
+/// Returns the requests in flight at the busiest replica, relative to the mean, or `None`
+/// when none are in flight.
+#[must_use]
+pub fn busiest_to_mean<K>(candidates: &[Candidate<K>]) -> Option<f64> {
+    let requests = candidates.iter().map(|c| c.load.requests);
+    let all = requests.clone().sum::<usize>();
+    let busiest = requests.max().filter(|_| all > 0)?;
+    Some(ratio(busiest * candidates.len(), all))
+}
+
 /// Returns how many engines at the front of the order short prompts use.
 fn lane_size<K>(ordered: &[&Candidate<K>], unseen: usize) -> usize {
     let is_tight = |request: &&DecodingRequest| request.pause_ms <= TIGHT_PAUSE_MS;
@@ -165,7 +176,9 @@
         let waiting = c.load.backlog_ms / prefill.max(1.0);
         (ratio(c.load.requests, 1) + 1.0 + waiting) * c.pace
     };
-    let drawn = engines.iter().copied().sample(rng, compared);
+    let mut drawn = engines.iter().copied().sample(rng, compared);
+    // A sample keeps the order, and of equals the first would always be taken.
+    drawn.shuffle(rng);
     drawn.into_iter().min_by(|a, b| work(a).total_cmp(&work(b)))
 }
 
--- a/crates/policy/tests/even_load.rs
+++ b/crates/policy/tests/even_load.rs
@@ -20,6 +20,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
 
 const SLOTS: usize = 12;
 /// Seeds of the runs over which figures are averaged.
@@ -245,7 +246,12 @@
                 .map(|c| c.key)
         };
         let first = match self {
-            Self::TwoChoices => least(&mut open.iter().sample(rng, 2).into_iter()),
+            Self::TwoChoices => {
+                let mut two = open.iter().sample(rng, 2);
+                // A sample keeps the order, and of equals the first would be taken.
+                two.shuffle(rng);
+                least(&mut two.into_iter())
+            }
             Self::Subsets => {
                 let mean = open.iter().map(|c| load(c)).sum::<f64>() / float(open.len() as u64);
                 let mut ranked = open.clone();
