Spread load evenly where links between zones are slow, and observe the pace of replicas

Cause: placement assumed that another gateway's work is known 4 ms after its heartbeat, and that all engines are as fast as the engine model says.

Change: where a link between zones is slower than 2 ms, gateways place by placement::even, with the stated delay in the age of views where it is longer than 4 ms. There they observe the pace of each replica: times to the first event and between events beside the prediction, times of calls beside the service's median, refusals, and Replica-Load, which is read now. The pace multiplies predicted times and used slots of a candidate. The gauge busiest_percent_SERVICE shows the busiest replica by the mean, pace lines and replica_slow_total name slow replicas. Elsewhere nothing is observed, all paces are 1 and the former functions decide. Cold limits, the second switch, are not connected.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -164,6 +164,9 @@
             parts.status,
             head.notice.limit_per_s,
         );
+        if let Some(watch) = &placement.pace_watch {
+            watch.load(&self.shared, parts.status, head.notice.load);
+        }
         let exchange = Exchange {
             reply: hyper::Response::from_parts(parts, body),
             connection: exchange.connection,
@@ -188,6 +191,9 @@
                 }
                 _ => {
                     record_outcome(&self.shared, id, SendOutcome::Refused);
+                    if let Some(watch) = &placement.pace_watch {
+                        watch.refused(&self.shared, status);
+                    }
                     id.clone()
                 }
             };
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -79,6 +79,9 @@
                         };
                         let shared = &dispatcher.shared;
                         record_run(shared, job, placement.sent_to(), outcome, Written::Some);
+                        if let Some(watch) = placement.pace_watch.as_ref().filter(|_| !failed) {
+                            watch.call_answered(shared, job);
+                        }
                         if failed && attempts.allow_another(job, true) {
                             true
                         } else {
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -98,7 +98,7 @@
             .cloned()
             .unwrap_or_default(),
         penalty: state.health.penalty(&record.id, now),
-        pace: 1.0,
+        pace: state.pace.factor(&record.id, now),
         same_zone: record.zone == settings.zone,
         only_helps: limits.time_left(&record.id).is_some(),
     };
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -121,6 +121,7 @@
             }),
             tokens_per_helper: 0,
             reservation: None,
+            pace_watch: None,
         }))
     }
 
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -12,6 +12,7 @@
 use briarhall_policy::placement::Length;
 use briarhall_policy::placement::PlacementError;
 use briarhall_policy::placement::Plan;
+use briarhall_policy::placement::even;
 use briarhall_policy::policies::Policy;
 use briarhall_policy::prompt_queue::QueuedPrompt;
 use briarhall_policy::rendezvous;
@@ -27,10 +28,13 @@
 use crate::candidates::part_work;
 use crate::candidates::unseen_placements;
 use crate::detour::Detour;
+use crate::even_load::StaleViews;
+use crate::even_load::record_busiest;
 use crate::guards::QueuePosition;
 use crate::guards::WorkGuard;
 use crate::job::Job;
 use crate::outcomes::SentTo;
+use crate::pace_watch::PaceWatch;
 use crate::request_error::RequestError;
 use crate::reservation::EngineCalls;
 use crate::reservation::Reservation;
@@ -69,6 +73,8 @@
     pub tokens_per_helper: u64,
     /// Keeps the memory.
     pub reservation: Option<Reservation<W>>,
+    /// Compares the answer with what was predicted, where paces are observed.
+    pub pace_watch: Option<PaceWatch>,
 }
 
 impl<W> Placement<W>
@@ -221,10 +227,15 @@
             return Err(PlacementError::Full);
         }
         let candidates = candidates(&state, job, attempts, &self.shared.settings, now);
+        let views = StaleViews::new(&state, &self.shared.settings.zone, now);
         let plan = match (self.shared.settings.placement, &job.engine) {
             (Policy::Lanes, _) | (_, None) => {
-                let unseen = unseen_placements(&state, now);
-                choose(job, generated, &candidates, unseen)?
+                if let Some(views) = views {
+                    choose_even(job, generated, &candidates, views.unseen)?
+                } else {
+                    let unseen = unseen_placements(&state, now);
+                    choose(job, generated, &candidates, unseen)?
+                }
             }
             (policy, Some(spec)) => {
                 let round_robin = state.next_round_robin();
@@ -239,6 +250,8 @@
                 )?
             }
         };
+        let watch = |_| PaceWatch::new(job, generated, &plan, &candidates, now);
+        let pace_watch = views.and_then(watch);
         let record = |id: &ReplicaId| state.replicas.get(id).cloned();
         let replica = record(&plan.first).ok_or(PlacementError::NoReplica)?;
         let helpers = plan.helpers.iter().filter_map(record);
@@ -254,6 +267,9 @@
             gateways: state.peers.up(now).count() + 1,
         };
         drop(state);
+        if views.is_some() {
+            record_busiest(&self.shared.metrics, &job.service, &candidates);
+        }
         self.record_placement(job, &plan, &known);
         let helpers = helpers.iter().map(|record| Helper {
             replica: record.id.clone(),
@@ -269,6 +285,7 @@
             detour: None,
             tokens_per_helper: plan.part_tokens,
             reservation: None,
+            pace_watch,
         })
     }
 
@@ -352,13 +369,7 @@
     unseen: usize,
 ) -> Result<Plan<ReplicaId>, PlacementError> {
     let Some(spec) = &job.engine else {
-        return Ok(Plan {
-            first: placement::call(candidates)?,
-            helpers: Vec::new(),
-            part_ms: 0.0,
-            part_tokens: 0,
-            predicted_ms: 0.0,
-        });
+        return choose_for_call(candidates);
     };
     let prompt = job.prompt(generated);
     match placement::length(spec, &prompt) {
@@ -370,3 +381,34 @@
         }
     }
 }
+
+/// Chooses as [`choose`] does, where gateways know each other's work late.
+fn choose_even(
+    job: &Job,
+    generated: u64,
+    candidates: &[Candidate<ReplicaId>],
+    unseen: usize,
+) -> Result<Plan<ReplicaId>, PlacementError> {
+    let Some(spec) = &job.engine else {
+        return choose_for_call(candidates);
+    };
+    let prompt = job.prompt(generated);
+    match placement::length(spec, &prompt) {
+        Length::Short => even::short(spec, &prompt, candidates, unseen, &mut rand::rng()),
+        Length::Medium => even::medium(spec, &prompt, candidates, unseen),
+        Length::Long => {
+            let urgency = job.urgency(spec, &prompt);
+            even::long(spec, &prompt, urgency, candidates, unseen)
+        }
+    }
+}
+
+fn choose_for_call(candidates: &[Candidate<ReplicaId>]) -> Result<Plan<ReplicaId>, PlacementError> {
+    Ok(Plan {
+        first: placement::call(candidates)?,
+        helpers: Vec::new(),
+        part_ms: 0.0,
+        part_tokens: 0,
+        predicted_ms: 0.0,
+    })
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use briarhall_policy::health::SendOutcome;
 use briarhall_policy::load_tracker::LoadTracker;
 use briarhall_policy::load_tracker::tag;
+use briarhall_policy::pace::Pace;
 use briarhall_policy::pauses::Pauses;
 use briarhall_policy::peers::HeldConfiguration;
 use briarhall_policy::peers::Incarnation;
@@ -88,6 +89,8 @@
     pub reach: Reach,
     /// Replicas that want no requests from this gateway for a time.
     pub pauses: Pauses,
+    /// Paces of replicas, where they are observed.
+    pub pace: Pace,
     /// Limits that replicas name for all gateways together.
     pub replica_limits: ReplicaLimits,
     /// Requests that may crash replicas.
@@ -171,6 +174,7 @@
             peer_health: Health::default(),
             reach: Reach::default(),
             pauses: Pauses::default(),
+            pace: Pace::default(),
             replica_limits: ReplicaLimits::default(),
             crashes: Crashes::default(),
             crashing_parts: CrashingParts::default(),
@@ -377,6 +381,7 @@
             }
             if matches!(event.status, ReplicaStatus::Gone | ReplicaStatus::Restarted) {
                 self.health.forget(&event.id);
+                self.pace.forget(&event.id);
                 self.replica_limits.forget(tag(event.id.as_str()));
                 self.record_crash(&event.id, event.status.as_str());
             }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -7,6 +7,7 @@
 
 use std::pin::pin;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use briarhall_net::Body;
@@ -213,6 +214,9 @@
         return StreamStart::MayHaveRun;
     }
     source.placement.work_guard.prefilled();
+    if let Some(watch) = &mut source.placement.pace_watch {
+        watch.first_event(&dispatcher.shared);
+    }
     StreamStart::Events {
         parts: Box::new(parts),
         source: Box::new(source),
@@ -349,7 +353,11 @@
             // A replica that sends faster than the client reads would keep this task
             // from giving way, also to the deadline.
             future::yield_now().await;
+            let asked = Instant::now();
             next = source.next(silence).await;
+            if let Some(watch) = &mut source.placement.pace_watch {
+                watch.next_item(&self.dispatcher.shared, &next, asked.elapsed());
+            }
         }
     }
 
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -6,6 +6,7 @@
 
 use briarhall_net::Body;
 use briarhall_net::Call;
+use briarhall_policy::pace::ReportedLoad;
 use briarhall_types::ReplicaId;
 use compact_str::CompactString;
 use hyper::HeaderMap;
@@ -114,6 +115,8 @@
     pub pause: Option<Duration>,
     /// The requests a second that it takes from all gateways together.
     pub limit_per_s: Option<f64>,
+    /// Its load.
+    pub load: Option<ReportedLoad>,
 }
 
 /// A replica that another one names as the reason for its answer.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod limits;
 pub mod load_tracker;
 pub mod members;
+pub mod pace;
 pub mod pauses;
 pub mod peer_reads;
 pub mod peers;
