Count for the lane only engines that take requests

Cause: engines that only help, or that just failed, made up the lane of short prompts, which then went to the few others in it.

Change: they add no slots to the lane.

Tests: engines_that_take_no_requests_do_not_count_for_the_lane. even_placement has 9 tests, all pass; the tests of even_load come out as before.

--- a/crates/policy/src/placement/even.rs
+++ b/crates/policy/src/placement/even.rs
@@ -80,7 +80,9 @@
     let with_fill = |fill: f64| {
         let mut slots_left = ratio(requests, 1) / fill;
         let enough = ordered.iter().position(|c| {
-            slots_left -= ratio(c.slots, 1) / c.pace;
+            if !c.only_helps && c.penalty < HEALTHY_BELOW_PENALTY {
+                slots_left -= ratio(c.slots, 1) / c.pace;
+            }
             slots_left <= 0.0
         });
         enough.map_or(ordered.len(), |last| last + 1)
--- a/crates/policy/tests/even_placement.rs
+++ b/crates/policy/tests/even_placement.rs
@@ -245,3 +245,22 @@
     assert_eq!(placed.iter().sum::<usize>(), 400);
     assert!(placed.iter().all(|count| *count <= 150), "{placed:?}");
 }
+
+/// Engines that take no requests leave the lane no smaller: else the few others in it would
+/// get all short prompts.
+#[test]
+fn engines_that_take_no_requests_do_not_count_for_the_lane() {
+    let mut engines = idle();
+    for engine in &mut engines[..30] {
+        engine.load = decoding(4);
+    }
+    for engine in &mut engines[..15] {
+        engine.only_helps = true;
+    }
+    let plans = (0..400).filter_map(|seed| place(&prompt(5_000), &engines, seed));
+    let firsts = plans.map(|plan| plan.first).collect::<Vec<_>>();
+    assert_eq!(firsts.len(), 400);
+    assert!(firsts.iter().all(|first| *first >= 15));
+    let idle_ones = firsts.iter().filter(|first| **first >= 30).count();
+    assert!(idle_ones > 200, "{idle_ones}");
+}
