Merge even load on uneven servers

The switch of even placement and of shares in a shortage is one: the configuration states slow links between zones or limits of cold replicas.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -180,6 +180,9 @@
             parts.status,
             head.notice.limit_per_s,
         );
+        if let Some(watch) = &placement.pace_watch {
+            watch.load(&self.shared, parts.status, head.notice.load);
+        }
         let exchange = Exchange {
             reply: hyper::Response::from_parts(parts, body),
             connection: exchange.connection,
@@ -204,6 +207,9 @@
                 }
                 _ => {
                     record_outcome(&self.shared, id, SendOutcome::Refused);
+                    if let Some(watch) = &placement.pace_watch {
+                        watch.refused(&self.shared, status);
+                    }
                     id.clone()
                 }
             };
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -111,6 +111,7 @@
             .cloned()
             .unwrap_or_default(),
         penalty: state.health.penalty(&record.id, now) + cold.penalty(&record.id),
+        pace: state.pace.factor(&record.id, now),
         same_zone: record.zone == settings.zone,
         only_helps: limits.time_left(&record.id).is_some(),
     };
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -12,6 +12,7 @@
 use briarhall_policy::placement::Length;
 use briarhall_policy::placement::PlacementError;
 use briarhall_policy::placement::Plan;
+use briarhall_policy::placement::even;
 use briarhall_policy::policies::Policy;
 use briarhall_policy::prompt_queue::QueuedPrompt;
 use briarhall_policy::rendezvous;
@@ -28,10 +29,13 @@
 use crate::candidates::part_work;
 use crate::candidates::unseen_placements;
 use crate::detour::Detour;
+use crate::even_load::StaleViews;
+use crate::even_load::record_busiest;
 use crate::guards::QueuePosition;
 use crate::guards::WorkGuard;
 use crate::job::Job;
 use crate::outcomes::SentTo;
+use crate::pace_watch::PaceWatch;
 use crate::request_error::RequestError;
 use crate::reservation::EngineCalls;
 use crate::reservation::Reservation;
@@ -74,6 +78,8 @@
     pub tokens_per_helper: u64,
     /// Keeps the memory.
     pub reservation: Option<Reservation<W>>,
+    /// Compares the answer with what was predicted, where paces are observed.
+    pub pace_watch: Option<PaceWatch>,
 }
 
 impl<W> Placement<W>
@@ -220,8 +226,8 @@
     }
 
     /// Records that a job asks for engine time. Returns `None` for one to which no share
-    /// applies: without organisations, of a plain service, or which may have run, as only
-    /// this gateway can still give its answer.
+    /// applies: without organisations, of a plain service, where no hard load is expected,
+    /// or which may have run, as only this gateway can still give its answer.
     fn contender(&self, job: &Job, attempts: &Attempts, generated: u64) -> Option<Contender> {
         let spec = job.engine.as_ref()?;
         if attempts.may_have_run > 0 || generated > 0 {
@@ -232,7 +238,7 @@
         }
         let state = self.shared.state();
         let current = state.current_configuration.as_ref()?;
-        if !current.table.requires_key() {
+        if !current.table.requires_key() || !current.table.expects_hard_load() {
             return None;
         }
         let organisation = job.organisation.as_ref();
@@ -318,10 +324,15 @@
         if cold_limit_held {
             self.shared.metrics.count("cold_limit_held");
         }
+        let views = StaleViews::new(&state, &self.shared.settings.zone, now);
         let plan = match (self.shared.settings.placement, &job.engine) {
             (Policy::Lanes, _) | (_, None) => {
-                let unseen = unseen_placements(&state, now);
-                let plan = choose(job, generated, &candidates, unseen);
+                let plan = if let Some(views) = views {
+                    choose_even(job, generated, &candidates, views.unseen)
+                } else {
+                    let unseen = unseen_placements(&state, now);
+                    choose(job, generated, &candidates, unseen)
+                };
                 plan.map_err(|e| match e {
                     // The replicas that get nothing now have memory as well.
                     PlacementError::TooLarge if cold_limit_held => PlacementError::Full,
@@ -341,6 +352,8 @@
                 )?
             }
         };
+        let watch = |_| PaceWatch::new(job, generated, &plan, &candidates, now);
+        let pace_watch = views.and_then(watch);
         let record = |id: &ReplicaId| state.replicas.get(id).cloned();
         let replica = record(&plan.first).ok_or(PlacementError::NoReplica)?;
         let helpers = plan.helpers.iter().filter_map(record);
@@ -360,6 +373,9 @@
             gateways: state.peers.up(now).count() + 1,
         };
         drop(state);
+        if views.is_some() {
+            record_busiest(&self.shared.metrics, &job.service, &candidates);
+        }
         self.record_placement(job, &plan, &known);
         let helpers = helpers.iter().map(|record| Helper {
             replica: record.id.clone(),
@@ -375,6 +391,7 @@
             detour: None,
             tokens_per_helper: plan.part_tokens,
             reservation: None,
+            pace_watch,
         })
     }
 
@@ -484,13 +501,7 @@
     unseen: usize,
 ) -> Result<Plan<ReplicaId>, PlacementError> {
     let Some(spec) = &job.engine else {
-        return Ok(Plan {
-            first: placement::call(candidates)?,
-            helpers: Vec::new(),
-            part_ms: 0.0,
-            part_tokens: 0,
-            predicted_ms: 0.0,
-        });
+        return choose_for_call(candidates);
     };
     let prompt = job.prompt(generated);
     match placement::length(spec, &prompt) {
@@ -502,3 +513,34 @@
         }
     }
 }
+
+/// Chooses as [`choose`] does, where gateways know each other's work late.
+fn choose_even(
+    job: &Job,
+    generated: u64,
+    candidates: &[Candidate<ReplicaId>],
+    unseen: usize,
+) -> Result<Plan<ReplicaId>, PlacementError> {
+    let Some(spec) = &job.engine else {
+        return choose_for_call(candidates);
+    };
+    let prompt = job.prompt(generated);
+    match placement::length(spec, &prompt) {
+        Length::Short => even::short(spec, &prompt, candidates, unseen, &mut rand::rng()),
+        Length::Medium => even::medium(spec, &prompt, candidates, unseen),
+        Length::Long => {
+            let urgency = job.urgency(spec, &prompt);
+            even::long(spec, &prompt, urgency, candidates, unseen)
+        }
+    }
+}
+
+fn choose_for_call(candidates: &[Candidate<ReplicaId>]) -> Result<Plan<ReplicaId>, PlacementError> {
+    Ok(Plan {
+        first: placement::call(candidates)?,
+        helpers: Vec::new(),
+        part_ms: 0.0,
+        part_tokens: 0,
+        predicted_ms: 0.0,
+    })
+}
--- a/crates/gateway/src/refusals.rs
+++ b/crates/gateway/src/refusals.rs
@@ -12,6 +12,7 @@
 use briarhall_policy::placement::Length;
 use briarhall_policy::placement::Prompt;
 use briarhall_policy::policies::Policy;
+use briarhall_policy::routes::RouteTable;
 use briarhall_types::EngineSpec;
 use briarhall_types::ReplicaId;
 
@@ -214,7 +215,8 @@
         let engines = engines.count().max(1) as f64 * LONG_PROMPT_ENGINE_SHARE;
         let service = tag(job.service.as_str());
         let current = state.current_configuration.as_ref();
-        let work = if current.is_some_and(|current| current.table.requires_key()) {
+        let in_shares = |table: &RouteTable| table.requires_key() && table.expects_hard_load();
+        let work = if current.is_some_and(|current| in_shares(&current.table)) {
             state.prompt_queue.work_before_ms(service, job.priority())
         } else {
             state.prompt_queue.work_ms(service)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -215,6 +215,9 @@
         return StreamStart::MayHaveRun;
     }
     source.placement.work_guard.prefilled();
+    if let Some(watch) = &mut source.placement.pace_watch {
+        watch.first_event(&dispatcher.shared);
+    }
     StreamStart::Events {
         parts: Box::new(parts),
         source: Box::new(source),
@@ -358,9 +361,12 @@
             // A replica that sends faster than the client reads would keep this task
             // from giving way, also to the deadline.
             future::yield_now().await;
-            let waits_since = Instant::now();
+            let asked = Instant::now();
             next = source.next(silence.saturating_sub(silent_for)).await;
-            silent_for += waits_since.elapsed();
+            silent_for += asked.elapsed();
+            if let Some(watch) = &mut source.placement.pace_watch {
+                watch.next_item(&self.dispatcher.shared, &next, asked.elapsed());
+            }
         }
     }
 
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -6,6 +6,7 @@
 
 use briarhall_net::Body;
 use briarhall_net::Call;
+use briarhall_policy::pace::ReportedLoad;
 use briarhall_types::ReplicaId;
 use compact_str::CompactString;
 use hyper::HeaderMap;
@@ -116,6 +117,8 @@
     pub limit_per_s: Option<f64>,
     /// How long it is cold; zero when it is warm.
     pub cold_left: Option<Duration>,
+    /// Its load.
+    pub load: Option<ReportedLoad>,
 }
 
 /// A replica that another one names as the reason for its answer.
--- a/crates/policy/src/routes.rs
+++ b/crates/policy/src/routes.rs
@@ -12,6 +12,8 @@
 use briarhall_types::ServiceName;
 use compact_str::CompactString;
 
+use crate::zone_delays::ZoneDelays;
+
 /// Index of routes, organisations and engines; built once per version.
 #[derive(Debug, Clone)]
 pub struct RouteTable {
@@ -20,6 +22,8 @@
     by_host: HashMap<CompactString, Vec<Arc<Route>>>,
     by_key: HashMap<CompactString, Arc<Organisation>>,
     engines: HashMap<ServiceName, Arc<EngineSpec>>,
+    delays: ZoneDelays,
+    has_cold_limits: bool,
     requires_key: bool,
 }
 
@@ -43,6 +47,8 @@
                 by_key.insert(key.clone(), Arc::clone(&organisation));
             }
         }
+        let delays = ZoneDelays::new(&configuration.services);
+        let has_cold_limits = configuration.services.iter().any(|s| s.cold.is_some());
         let engines = configuration.services.into_iter();
         let engines = engines.filter_map(|s| Some((s.name, Arc::new(s.engine?))));
         Self {
@@ -51,6 +57,8 @@
             by_host,
             by_key,
             engines: engines.collect(),
+            delays,
+            has_cold_limits,
             requires_key,
         }
     }
@@ -89,6 +97,19 @@
         self.by_key.get(key)
     }
 
+    /// Returns the delays of the links between availability zones.
+    #[must_use]
+    pub fn delays(&self) -> &ZoneDelays {
+        &self.delays
+    }
+
+    /// Returns whether the configuration states slow links between zones or limits of cold
+    /// replicas. Placement then counts on stale views and on too little room.
+    #[must_use]
+    pub fn expects_hard_load(&self) -> bool {
+        self.delays.has_slow_links() || self.has_cold_limits
+    }
+
     /// Returns the engine parameters of a service; `None` for a plain service.
     #[must_use]
     pub fn engine(&self, service: &str) -> Option<&Arc<EngineSpec>> {
--- a/crates/types/src/configuration.rs
+++ b/crates/types/src/configuration.rs
@@ -9,6 +9,7 @@
 
 use crate::CustomerName;
 use crate::ServiceName;
+use crate::ZoneName;
 
 /// Name of a route, unique within a configuration.
 pub type RouteName = CompactString;
@@ -92,6 +93,9 @@
     /// What its replicas take after a start; absent where that is not limited.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cold: Option<ColdSpec>,
+    /// Delays of the links between availability zones, where they are stated.
+    #[serde(default)]
+    pub delays: Vec<ZoneDelay>,
 }
 
 /// What a replica takes after a start, while it is cold.
@@ -103,6 +107,17 @@
     pub per_s: f64,
 }
 
+/// Delay of the link from one availability zone to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneDelay {
+    /// Zone of the sender.
+    pub from: ZoneName,
+    /// Zone of the receiver.
+    pub to: ZoneName,
+    /// Time until a message arrives.
+    pub delay: Duration,
+}
+
 /// Speed and memory of a model engine, as its operator measured it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EngineSpec {
