Advertise half as many gateways where hard load is expected

Cause: at a surge of short prompts (405 requests a second) 65 of 77 gateways placed requests, so each knew the others' work about 95 ms late (1.4 ms for each of them).

Change: where the configuration states slow links or limits of cold replicas, the directory names gateways for half of their processor time, not a quarter. Other deployments choose as before.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -9,6 +9,7 @@
 use briarhall_net::Handler;
 use briarhall_net::status;
 use briarhall_policy::advertised::advertised;
+use briarhall_policy::advertised::advertised_in_hard_load;
 use briarhall_policy::advertised::answer;
 use hyper::Request;
 use hyper::Response;
@@ -62,7 +63,12 @@
         let state = self.shared.state();
         let own = self.shared.presence(&state, now);
         let own = own.ready.then_some(&own);
-        let advertised = advertised(state.peers.serving(now).chain(own));
+        let serving = state.peers.serving(now).chain(own);
+        let advertised = if state.expects_hard_load() {
+            advertised_in_hard_load(serving)
+        } else {
+            advertised(serving)
+        };
         let named = answer(&advertised, MAX_ADDRESSES, &mut rand::rng());
         named.into_iter().map(|p| p.client_address).collect()
     }
--- a/crates/gateway/src/even_load.rs
+++ b/crates/gateway/src/even_load.rs
@@ -12,6 +12,14 @@
 use crate::gossip;
 use crate::state::State;
 
+impl State {
+    /// Returns whether the configuration expects hard load.
+    pub fn expects_hard_load(&self) -> bool {
+        let current = self.current_configuration.as_ref();
+        current.is_some_and(|current| current.table.expects_hard_load())
+    }
+}
+
 /// What placement with stale views starts from.
 #[derive(Debug, Clone, Copy)]
 pub struct StaleViews {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -13,6 +13,7 @@
 use async_io::Timer;
 use async_net::UdpSocket;
 use briarhall_policy::advertised::advertised;
+use briarhall_policy::advertised::advertised_in_hard_load;
 use briarhall_policy::departures::HeardBy;
 use briarhall_policy::peers::DOWN_AFTER;
 use briarhall_policy::peers::HEARTBEAT_INTERVAL;
@@ -228,7 +229,11 @@
 fn update_advertised(state: &mut State, own: &Presence, now: Instant) {
     let own_if_serving = (own.ready && !own.stopping).then_some(own);
     let serving = state.peers.serving(now).chain(own_if_serving);
-    let advertised = advertised(serving);
+    let advertised = if state.expects_hard_load() {
+        advertised_in_hard_load(serving)
+    } else {
+        advertised(serving)
+    };
     let is_advertised = advertised.iter().any(|p| p.vm == own.vm);
     if state.advertised != is_advertised {
         let requests_per_s = advertised.iter().map(|p| p.requests_per_s).sum::<u32>();
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -135,15 +135,7 @@
             return Ok(detour);
         }
         let mut contender = self.contender(job, attempts, generated);
-        if let Some(wait) = self.queue_too_long(job, generated)
-            && !contender
-                .as_mut()
-                .is_some_and(|contender| contender.may_join_long_queue(&view(&self.shared.state())))
-        {
-            log_queue_too_long(job, wait);
-            let spread =
-                |contender: &Contender| contender.spread(&view(&self.shared.state()), wait);
-            let wait = contender.as_ref().map_or(wait, spread);
+        if let Some(wait) = self.long_queue_refusal(job, generated, contender.as_mut()) {
             return Err(attempts.final_error().with_retry_after(wait));
         }
         let mut queue_position = self.join_queue(job, generated);
@@ -225,6 +217,27 @@
         }
     }
 
+    /// Returns after which time the caller may come back when the queue of long prompts is
+    /// too long to answer in time and the request may not join it all the same.
+    fn long_queue_refusal(
+        &self,
+        job: &Job,
+        generated: u64,
+        contender: Option<&mut Contender>,
+    ) -> Option<Duration> {
+        let wait = self.queue_too_long(job, generated)?;
+        let Some(contender) = contender else {
+            log_queue_too_long(job, wait);
+            return Some(wait);
+        };
+        let state = self.shared.state();
+        if contender.may_join_long_queue(&view(&state)) {
+            return None;
+        }
+        log_queue_too_long(job, wait);
+        Some(contender.spread(&view(&state), wait))
+    }
+
     /// Records that a job asks for engine time. Returns `None` for one to which no share
     /// applies: without organisations, of a plain service, where no hard load is expected,
     /// or which may have run, as only this gateway can still give its answer.
--- a/crates/gateway/tests/heartbeat.rs
+++ b/crates/gateway/tests/heartbeat.rs
@@ -27,6 +27,7 @@
 use briarhall_policy::load_tracker::Phase;
 use briarhall_policy::load_tracker::Work;
 use briarhall_policy::peers::HeldConfiguration;
+use briarhall_policy::peers::Incarnation;
 use briarhall_policy::peers::PeerUpdate;
 use briarhall_policy::peers::Peers;
 use briarhall_policy::peers::Presence;
@@ -436,26 +437,8 @@
         assert_eq!(event, None, "the registry lists no such replica");
     }
     ColdReplicas::default().apply_report(incarnation, &cold, now);
-    let mut shares = SharesInShortage::default();
-    let claims = shortage.iter().flat_map(|report| &report.usage);
-    let claims = claims.map(|usage| usage.claim).collect::<Vec<_>>();
     if let Some(report) = shortage {
-        shares.apply_report(incarnation, report, now);
-    }
-    for claim in claims {
-        let asking = Asking {
-            claim,
-            large: false,
-            free: 0,
-            slots: 100,
-            capacity: None,
-            patience: Some(Duration::from_millis(600)),
-        };
-        if let Verdict::Refuse(_, wait) = shares.verdict(&asking, now) {
-            assert!(wait <= Duration::from_mins(1), "{wait:?}");
-        }
-        let back = shares.next_return(&asking, 200.0, Duration::ZERO, 14, now);
-        assert!(back <= Duration::from_mins(1), "{back:?}");
+        apply_shortage(incarnation, report, now);
     }
     let mut replica_limits = ReplicaLimits::default();
     replica_limits.apply_observations(&limits, now);
@@ -551,3 +534,26 @@
     negative: -1.0,
     thirty_years: 1.0e12,
 }
+
+/// Applies a shortage report, and makes the queries that a placement makes.
+fn apply_shortage(incarnation: Incarnation, report: ShortageReport, now: Instant) {
+    let mut shares = SharesInShortage::default();
+    let claims = report.usage.iter().map(|usage| usage.claim);
+    let claims = claims.collect::<Vec<_>>();
+    shares.apply_report(incarnation, report, now);
+    for claim in claims {
+        let asking = Asking {
+            claim,
+            large: false,
+            free: 0,
+            slots: 100,
+            capacity: None,
+            patience: Some(Duration::from_millis(600)),
+        };
+        if let Verdict::Refuse(_, wait) = shares.verdict(&asking, now) {
+            assert!(wait <= Duration::from_mins(1), "{wait:?}");
+        }
+        let back = shares.next_return(&asking, 200.0, Duration::ZERO, 14, now);
+        assert!(back <= Duration::from_mins(1), "{back:?}");
+    }
+}
--- a/crates/policy/src/advertised.rs
+++ b/crates/policy/src/advertised.rs
@@ -22,6 +22,9 @@
 /// Part of a VM's processor time that the advertised gateways may use for the
 /// load of the moment; the rest carries bursts and the loss of some of them.
 const TARGET_UTILIZATION_PERCENT: u64 = 25;
+/// The same where the configuration expects hard load. Gateways know each other's work the
+/// later the more of them place requests, and servers were overrun in turns with 65 of them.
+const HARD_LOAD_UTILIZATION_PERCENT: u64 = 50;
 /// Fewest gateways that are advertised, if there are as many: the loss of one
 /// must not be the loss of a large part.
 pub const MIN_ADVERTISED: usize = 12;
@@ -32,6 +35,23 @@
 /// off from replicas are not among them unless all are.
 #[must_use]
 pub fn advertised<'a, I>(serving: I) -> Vec<&'a Presence>
+where
+    I: IntoIterator<Item = &'a Presence>,
+{
+    advertised_at(serving, TARGET_UTILIZATION_PERCENT)
+}
+
+/// Returns the same where the configuration expects hard load: fewer, which know each
+/// other's work sooner.
+#[must_use]
+pub fn advertised_in_hard_load<'a, I>(serving: I) -> Vec<&'a Presence>
+where
+    I: IntoIterator<Item = &'a Presence>,
+{
+    advertised_at(serving, HARD_LOAD_UTILIZATION_PERCENT)
+}
+
+fn advertised_at<'a, I>(serving: I, utilization_percent: u64) -> Vec<&'a Presence>
 where
     I: IntoIterator<Item = &'a Presence>,
 {
@@ -41,7 +61,7 @@
     }
     let load = ranked.iter().map(|p| u64::from(p.requests_per_s));
     let load = load.sum::<u64>() * u64::from(REQUEST_COST);
-    let needed_millicores = load * 100 / TARGET_UTILIZATION_PERCENT;
+    let needed_millicores = load * 100 / utilization_percent;
     ranked.sort_by_cached_key(|p| {
         let weight = rendezvous::weight("advertised", p.vm.as_str());
         (u32::MAX - p.millicores, weight)
