Check the store before its lists are read in an outage

Cause: when the store is away, all gateways that stand by hear too few readers and call it for each list again and again. One that the directory names, or that was paused, reads at once as before. Test: lists_are_read_in_an_outage_once_the_store_has_answered, new.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -92,8 +92,8 @@
     let max_backoff = min_interval.max(MIN_LONGEST_BACKOFF);
     let mut backoff = INITIAL_BACKOFF;
     loop {
-        if !gate.is_open() {
-            gate.opened().await;
+        if !gate.is_open_for_lists() {
+            gate.opened_for_lists().await;
             position = None;
             backoff = INITIAL_BACKOFF;
             // It is read anew in any case.
--- a/crates/gateway/src/store_gate.rs
+++ b/crates/gateway/src/store_gate.rs
@@ -21,6 +21,10 @@
 /// longer heard.
 const DECISION_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time between two looks at whether the store has answered a check: a small part of the
+/// time in which changes must be in force.
+const ANSWER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Tells one task whether it may call the store.
 #[derive(Debug, Clone)]
 pub struct StoreGate {
@@ -39,6 +43,22 @@
         self.until(true).await;
     }
 
+    /// Returns whether this gateway reads the lists in the store.
+    pub fn is_open_for_lists(&self) -> bool {
+        self.shared.state().store_readers.reads_lists()
+    }
+
+    /// Waits until this gateway reads the lists in the store.
+    pub async fn opened_for_lists(&self) {
+        while !self.is_open_for_lists() {
+            if self.is_open() {
+                Timer::after(ANSWER_CHECK_INTERVAL).await;
+            } else {
+                self.opened().await;
+            }
+        }
+    }
+
     /// Waits until this gateway stands by.
     pub async fn closed(&self) {
         self.until(false).await;
--- a/crates/policy/src/store_readers.rs
+++ b/crates/policy/src/store_readers.rs
@@ -120,6 +120,9 @@
     required_at: Option<Instant>,
     decided_at: Option<Instant>,
     answered_at: Option<Instant>,
+    /// Since when it reads because it hears too few readers. The store may be away for all
+    /// of them, so it is checked before the lists are read.
+    probes_since: Option<Instant>,
 }
 
 impl StoreReaders {
@@ -136,6 +139,7 @@
             required_at: None,
             decided_at: None,
             answered_at: None,
+            probes_since: None,
         }
     }
 
@@ -145,6 +149,15 @@
         self.reads
     }
 
+    /// Returns whether this gateway reads the lists in the store. One that hears too few
+    /// readers does so once the store has answered a check: in an outage, calls of all
+    /// gateways would be in vain.
+    #[must_use]
+    pub fn reads_lists(&self) -> bool {
+        let has_answered = |since: Instant| self.answered_at.is_some_and(|at| at >= since);
+        self.reads && self.probes_since.is_none_or(has_answered)
+    }
+
     /// Returns whether this gateway's own watch may deliver a change. In a large
     /// deployment it may not once the store has not answered for long.
     #[must_use]
@@ -209,6 +222,11 @@
             // store, and entries that were removed meanwhile must not be kept.
             let silent_since = last_answer.filter(|_| cause != ReadCause::Paused);
             let begins = !std::mem::replace(&mut self.reads, true);
+            if cause != ReadCause::FewReaders {
+                self.probes_since = None;
+            } else if begins {
+                self.probes_since = Some(now);
+            }
             return begins.then_some(ReaderChange::Reads {
                 cause,
                 silent_since,
--- a/crates/policy/tests/store_readers.rs
+++ b/crates/policy/tests/store_readers.rs
@@ -162,6 +162,12 @@
         up.filter(|g| g.readers.reads()).count()
     }
 
+    /// Returns how many gateways that are up read the lists in the store.
+    fn reading_lists(&self) -> usize {
+        let up = self.gateways.iter().filter(|g| g.up);
+        up.filter(|g| g.readers.reads_lists()).count()
+    }
+
     fn changes_since(&self, since: Duration) -> usize {
         let changes = self.gateways.iter().flat_map(|g| &g.changes);
         changes.filter(|(at, _)| *at >= since).count()
@@ -267,6 +273,20 @@
     assert_eq!(site.reading(), ADVERTISED);
 }
 
+/// Failure: the store is away for all. Guards against calls of all gateways that are in
+/// vain: those that stood by check the store, and read the lists once it has answered.
+fn lists_are_read_in_an_outage_once_the_store_has_answered() {
+    let mut site = Site::settled();
+    site.answers = |_| false;
+    site.run(DAY);
+    assert_eq!(site.reading(), GATEWAYS);
+    assert_eq!(site.reading_lists(), ADVERTISED);
+    site.answers = |_| true;
+    // Each checks at every quarter of the time.
+    site.run(IN_FORCE / 4 + STEP);
+    assert_eq!(site.reading_lists(), GATEWAYS);
+}
+
 /// Failure: the directory names a gateway just when an outage has begun. Guards against
 /// one that takes the outage for shorter than it was.
 fn a_gateway_that_is_named_in_an_outage_knows_when_it_began() {
@@ -485,6 +505,7 @@
     the_store_turns_the_readers_away,
     the_store_turns_some_readers_away,
     an_outage_of_the_store_counts_from_the_last_answer,
+    lists_are_read_in_an_outage_once_the_store_has_answered,
     a_gateway_that_is_named_in_an_outage_knows_when_it_began,
     a_paused_process_reads_at_once,
     a_reader_that_the_store_turns_away_waits_for_no_watch,
