Review: answers held for slow readers take more memory than a machine has

Claim: Fault. Gateways read answers whole and hold them without a bound until their clients have read them; the platform kills processes over memory_mb.

--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -7,7 +7,10 @@
 
 use crate::http::Conn;
 use crate::http::Head;
+use crate::http::open_small;
 
+/// Receive buffer of a client that reads slowly.
+const SMALL_BUFFER: i32 = 16 * 1024;
 pub const HOST: &str = "ficu95.example";
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
@@ -80,7 +83,11 @@
         body: Vec::new(),
         extra: 0,
     };
-    match Conn::open(to, Duration::from_secs(1).min(req.deadline)) {
+    let opened = match req.read_per_s {
+        Some(_) => open_small(to, SMALL_BUFFER).map(Conn::new),
+        None => Conn::open(to, Duration::from_secs(1).min(req.deadline)),
+    };
+    match opened {
         Ok(mut conn) => send_on(&mut conn, req, &mut outcome, "close"),
         Err(e) => outcome.end = End::NotConnected(e.to_string()),
     }
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::os::fd::FromRawFd;
 use std::thread;
 use std::time::Duration;
 
@@ -153,6 +154,51 @@
     }
 }
 
+/// Opens a connection like one of an Ethernet path, with segments of 1,460 bytes, whose
+/// client has a small receive buffer.
+pub fn open_small(to: SocketAddr, receive_buffer: i32) -> Result<TcpStream> {
+    const AF_INET: i32 = 2;
+    const SOCK_STREAM: i32 = 1;
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    const IPPROTO_TCP: i32 = 6;
+    const TCP_MAXSEG: i32 = 2;
+    const SEGMENT: i32 = 1_460;
+    let SocketAddr::V4(to) = to else {
+        return Err(ErrorKind::Unsupported.into());
+    };
+    let mut address = [0_u8; 16];
+    address[..2].copy_from_slice(&(AF_INET as u16).to_ne_bytes());
+    address[2..4].copy_from_slice(&to.port().to_be_bytes());
+    address[4..8].copy_from_slice(&to.ip().octets());
+    // SAFETY: each call gets pointers to values that live through it, with their lengths.
+    unsafe {
+        let fd = socket(AF_INET, SOCK_STREAM, 0);
+        if fd < 0 {
+            return Err(std::io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(fd);
+        for (level, option, value) in [
+            (SOL_SOCKET, SO_RCVBUF, receive_buffer),
+            (IPPROTO_TCP, TCP_MAXSEG, SEGMENT),
+        ] {
+            if setsockopt(fd, level, option, &raw const value, 4) != 0 {
+                return Err(std::io::Error::last_os_error());
+            }
+        }
+        if connect(fd, address.as_ptr(), 16) != 0 {
+            return Err(std::io::Error::last_os_error());
+        }
+        Ok(stream)
+    }
+}
+
+unsafe extern "C" {
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn setsockopt(fd: i32, level: i32, option: i32, value: *const i32, len: u32) -> i32;
+    fn connect(fd: i32, address: *const u8, len: u32) -> i32;
+}
+
 /// Serves each connection on a thread of its own, until the process ends.
 pub fn listen<H>(address: SocketAddr, handler: H) -> Result<()>
 where
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,11 +3,13 @@
 mod client;
 mod foreign_entry;
 mod gateway;
+mod held_answers;
 mod http;
 mod late_streams;
 mod load;
 mod replica;
 mod site;
+mod slow_readers;
 mod store;
 mod unreadable_id;
 
@@ -71,6 +73,8 @@
         "foreign-entry" => foreign_entry::run(&case).map(|verdict| (case, verdict)),
         "late-streams" => late_streams::run(&case).map(|verdict| (case, verdict)),
         "unreadable-id" => unreadable_id::run(&case).map(|verdict| (case, verdict)),
+        "slow-readers" => slow_readers::run(&case).map(|verdict| (case, verdict)),
+        "held-answers" => held_answers::run(&case).map(|verdict| (case, verdict)),
         _ => Err(format!("unknown case {name}").into()),
     };
     let code = match thread::spawn(move || run().map_err(|e| e.to_string())).join() {
