--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -55,7 +55,8 @@
         program: PathBuf::from("target/release/briarhall-gateway"),
         trouble: !trouble,
     };
-    case.record.line(&format!("case {name}, disruption: {}", case.trouble));
+    case.record
+        .line(&format!("case {name}, disruption: {}", case.trouble));
     let finish = move |code: i32, scratch: PathBuf| -> ! {
         gateway::end_all();
         if env::var_os("KEEP_LOGS").is_none() {
