Logs: what a stopping gateway predicted for a request that it takes

`placed` names the output tokens that the request allows, and `placed_in_stop`, logged only after SIGTERM, the predicted time of the answer and the time left.

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -389,7 +389,7 @@
         if views.is_some() {
             record_busiest(&self.shared.metrics, &job.service, &candidates);
         }
-        self.record_placement(job, &plan, &known);
+        self.record_placement(job, generated, &plan, &known);
         let helpers = helpers.iter().map(|record| Helper {
             replica: record.id.clone(),
             address: record.address,
@@ -408,7 +408,13 @@
         })
     }
 
-    fn record_placement(&self, job: &Job, plan: &Plan<ReplicaId>, known: &KnownState) {
+    fn record_placement(
+        &self,
+        job: &Job,
+        generated: u64,
+        plan: &Plan<ReplicaId>,
+        known: &KnownState,
+    ) {
         let metrics = &self.shared.metrics;
         metrics.count("request_placed");
         let waited = job.arrived.elapsed();
@@ -425,12 +431,23 @@
             registry = known.registry_revision,
             gateways = known.gateways,
             tokens = job.head.prompt_tokens.unwrap_or(0),
+            output_tokens = job.head.output_tokens.unwrap_or(0),
             shared_parts = job.shared_parts().join(",").as_str(),
             part_ms = plan.part_ms,
             predicted_ms = plan.predicted_ms,
             waited_ms = elapsed_ms(job.arrived);
             "request placed"
         );
+        if let Some(left) = self.time_to_stop() {
+            let predicted = self.predicted_answer_time(job, generated);
+            log::info!(
+                event = "placed_in_stop",
+                request = job.head.id.as_str(),
+                answer_ms = predicted.as_millis(),
+                left_ms = left.as_millis();
+                "request placed while this gateway stops"
+            );
+        }
     }
 
     /// Reserves memory at the helpers, where the plan needs it. Returns `None`
--- a/crates/gateway/src/refusals.rs
+++ b/crates/gateway/src/refusals.rs
@@ -181,15 +181,23 @@
     /// An error then lets the client try another gateway, as long as nothing
     /// was sent.
     pub fn stops_too_soon(&self, job: &Job, generated: u64) -> bool {
-        let Some(stop_deadline) = self.shared.state().stop_deadline else {
-            return false;
-        };
-        let needed = job.engine.as_ref().map_or(CALL_DURATION, |spec| {
+        let left = self.time_to_stop();
+        left.is_some_and(|left| self.predicted_answer_time(job, generated) > left)
+    }
+
+    /// Returns the time until this process ends at the latest, if it is stopping.
+    pub fn time_to_stop(&self) -> Option<Duration> {
+        let stop_deadline = self.shared.state().stop_deadline?;
+        Some(stop_deadline.saturating_duration_since(Instant::now()))
+    }
+
+    /// Returns the predicted time from a send to the end of the answer.
+    pub fn predicted_answer_time(&self, job: &Job, generated: u64) -> Duration {
+        job.engine.as_ref().map_or(CALL_DURATION, |spec| {
             let tokens = job.prompt(generated).tokens;
             let prefill = engine::prefill_ms(spec, tokens, TYPICAL_PREFILL_ENGINES);
             STREAM_DURATION + engine::predicted_time(prefill)
-        });
-        Instant::now() + needed > stop_deadline
+        })
     }
 
     /// Returns whether a prompt is so long that it waits in the queue for engines.
