Take late requests in a planned stop only if the longest answer ends in time

What callers saw: while all gateways stop within seconds of each other, clients keep to the addresses that they have.

Cause: a gateway that stops took a request if a usual answer, 2 s or a call's 300 ms, would end in time. `Token-Count` names only a maximum: of 3,263 streams that allow 96 events the median has 30, one in 13 has 75 or more. Ruled out: time in the queue after the check (21 of 22 cut streams waited 0 ms).

Change: a client that comes later than three times the directory's time to live after SIGTERM is taken only if the longest answer that its request allows ends in time, at the slowest pace of the route's last answers or of a full engine; without a bound the route's time-out is the bound. Earlier clients could not know of the stop, and are served if a usual answer ends in time. Checked again with the chosen replica's predicted first event. While no other gateway serves, `Retry-After` says when the first is back, in the order of the refusals. Related paths with the same cause: calls (300 ms each), streams without engines, detours (no check at all), and streams that break during a stop, which were refused another replica.

Why it works: the answer's length is bounded by what the request allows, not guessed.

Tests: late_in_stop (processes), answer_times, return_after_stop, peers (policy). Before the fix streams_sent_late_in_a_planned_stop_are_not_cut failed (cut 4.03 s after the signal) and calls_sent_late_in_a_planned_stop_are_not_cut too (7.04 s).

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -178,6 +178,12 @@
         digests.collect()
     }
 
+    /// Returns the time in which the answer, or its first event, is to arrive.
+    #[must_use]
+    pub fn objective(&self) -> Duration {
+        self.route.objective.unwrap_or(DEFAULT_OBJECTIVE)
+    }
+
     /// Returns the longest pause between events that the caller accepts.
     #[must_use]
     pub fn pause_objective(&self) -> Duration {
@@ -232,7 +238,7 @@
     /// the answer are to be prefilled again.
     #[must_use]
     pub fn prompt(&self, generated: u64) -> Prompt {
-        let objective = self.route.objective.unwrap_or(DEFAULT_OBJECTIVE);
+        let objective = self.objective();
         let pause = self.pause_objective();
         Prompt {
             tokens: self.head.prompt_tokens.unwrap_or(0) + generated,
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -36,6 +36,7 @@
 use crate::job::Job;
 use crate::outcomes::SentTo;
 use crate::pace_watch::PaceWatch;
+use crate::request_error::DEFAULT_RETRY_AFTER;
 use crate::request_error::RequestError;
 use crate::reservation::EngineCalls;
 use crate::reservation::Reservation;
@@ -128,6 +129,7 @@
         if let Some(wait) = refused.or_else(unavailable) {
             return Err(attempts.final_error().with_retry_after(wait));
         }
+        self.refuse_if_stopping(job, attempts, generated, None)?;
         if attempts.is_retry() && !self.spend_retry_budget(job) {
             return Err(attempts.final_error());
         }
@@ -153,10 +155,7 @@
         }
         let waits_in_queue = queue_position.is_some();
         loop {
-            if self.stops_too_soon(job, generated) {
-                log_no_place(job, "the gateway ends too soon");
-                return Err(attempts.final_error());
-            }
+            self.refuse_if_stopping(job, attempts, generated, None)?;
             self.pause_guard.confirmed().await;
             // What has been learnt while the job waits.
             if let Some(detour) = self.place_detour(job, attempts)? {
@@ -188,6 +187,8 @@
             let reason = match placed {
                 Ok(placement) => match self.reserve(job, placement).await {
                     Some(placement) => {
+                        let predicted_ms = Some(placement.predicted_ms);
+                        self.refuse_if_stopping(job, attempts, generated, predicted_ms)?;
                         if let Some(contender) = &contender {
                             contender.placed();
                         }
@@ -217,6 +218,24 @@
         }
     }
 
+    /// Refuses the job if this gateway may stop before the answer is complete. A stream of
+    /// which `generated` tokens have been sent is resumed in any case: a refusal would cut
+    /// it at once.
+    fn refuse_if_stopping(
+        &self,
+        job: &Job,
+        attempts: &Attempts,
+        generated: u64,
+        first_event_ms: Option<f64>,
+    ) -> Result<(), RequestError> {
+        if generated == 0 && self.stops_too_soon(job, first_event_ms) {
+            log_no_place(job, "the gateway ends too soon");
+            let wait = self.return_after_stop().unwrap_or(DEFAULT_RETRY_AFTER);
+            return Err(attempts.final_error().with_retry_after(wait));
+        }
+        Ok(())
+    }
+
     /// Returns after which time the caller may come back when the queue of long prompts is
     /// too long to answer in time and the request may not join it all the same.
     fn long_queue_refusal(
@@ -389,7 +408,7 @@
         if views.is_some() {
             record_busiest(&self.shared.metrics, &job.service, &candidates);
         }
-        self.record_placement(job, generated, &plan, &known);
+        self.record_placement(job, &plan, &known);
         let helpers = helpers.iter().map(|record| Helper {
             replica: record.id.clone(),
             address: record.address,
@@ -408,13 +427,7 @@
         })
     }
 
-    fn record_placement(
-        &self,
-        job: &Job,
-        generated: u64,
-        plan: &Plan<ReplicaId>,
-        known: &KnownState,
-    ) {
+    fn record_placement(&self, job: &Job, plan: &Plan<ReplicaId>, known: &KnownState) {
         let metrics = &self.shared.metrics;
         metrics.count("request_placed");
         let waited = job.arrived.elapsed();
@@ -438,13 +451,12 @@
             waited_ms = elapsed_ms(job.arrived);
             "request placed"
         );
-        if let Some(left) = self.time_to_stop() {
-            let predicted = self.predicted_answer_time(job, generated);
+        if let Some(time) = self.time_in_stop(job, Some(plan.predicted_ms)) {
             log::info!(
                 event = "placed_in_stop",
                 request = job.head.id.as_str(),
-                answer_ms = predicted.as_millis(),
-                left_ms = left.as_millis();
+                needed_ms = time.needed.as_millis(),
+                left_ms = time.left.as_millis();
                 "request placed while this gateway stops"
             );
         }
--- a/crates/gateway/src/refusals.rs
+++ b/crates/gateway/src/refusals.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use briarhall_policy::answer_times::Client;
+use briarhall_policy::answer_times::ExpectedAnswer;
 use briarhall_policy::crashes::CRASHES_TO_BLOCK;
 use briarhall_policy::crashing_parts::Refusal;
 use briarhall_policy::engine;
@@ -12,9 +14,12 @@
 use briarhall_policy::placement::Length;
 use briarhall_policy::placement::Prompt;
 use briarhall_policy::policies::Policy;
+use briarhall_policy::return_after_stop::RESTART_TIME;
+use briarhall_policy::return_after_stop::time_to_return;
 use briarhall_policy::routes::RouteTable;
 use briarhall_types::EngineSpec;
 use briarhall_types::ReplicaId;
+use briarhall_types::RouteKind;
 
 use crate::attempt::Attempts;
 use crate::attempt::Dispatcher;
@@ -35,15 +40,19 @@
 /// The same where replicas are cold: all gateways compete for their places, so that most
 /// waits are in vain.
 const MAX_COLD_WAIT: Duration = Duration::from_millis(50);
-/// Time within which most calls of services without engines end.
-const CALL_DURATION: Duration = Duration::from_millis(300);
-/// Time to generate a streamed answer: 40 events, each of a decode pass of 50
-/// ms.
-const STREAM_DURATION: Duration = Duration::from_secs(2);
 /// `Retry-After` of a request that crashes replicas. The request is blocked for
 /// far longer, but no client's deadline is later than this.
 const CRASHER_RETRY_AFTER: Duration = Duration::from_mins(1);
 
+/// Time for an answer while this gateway stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TimeInStop {
+    /// Time that the answer may take.
+    pub needed: Duration,
+    /// Time until the process ends at the latest.
+    pub left: Duration,
+}
+
 impl<W> Dispatcher<W>
 where
     W: Wire,
@@ -177,26 +186,48 @@
         spec.is_some_and(|spec| self.waits_in_queue(spec, &job.prompt(0)))
     }
 
-    /// Returns whether this gateway stops before an answer could be complete.
-    /// An error then lets the client try another gateway, as long as nothing
-    /// was sent.
-    pub fn stops_too_soon(&self, job: &Job, generated: u64) -> bool {
-        let left = self.time_to_stop();
-        left.is_some_and(|left| self.predicted_answer_time(job, generated) > left)
+    /// Returns whether this gateway may stop before the answer is complete. An error then
+    /// lets the client try another gateway, as long as nothing was sent. `first_event_ms`
+    /// is the predicted time to the first event, where the replica is chosen.
+    pub fn stops_too_soon(&self, job: &Job, first_event_ms: Option<f64>) -> bool {
+        self.time_in_stop(job, first_event_ms)
+            .is_some_and(|time| time.needed > time.left)
     }
 
-    /// Returns the time until this process ends at the latest, if it is stopping.
-    pub fn time_to_stop(&self) -> Option<Duration> {
-        let stop_deadline = self.shared.state().stop_deadline?;
-        Some(stop_deadline.saturating_duration_since(Instant::now()))
+    /// Returns after which time a client may come back that this gateway refuses because it
+    /// stops, if no other one serves.
+    pub fn return_after_stop(&self) -> Option<Duration> {
+        let now = Instant::now();
+        let state = self.shared.state();
+        let stop = state.stop?;
+        if state.peers.serving(now).next().is_some() {
+            return None;
+        }
+        let own = stop.deadline + RESTART_TIME;
+        let longest_stop = self.shared.settings.grace + RESTART_TIME;
+        let others = state.peers.first_return(longest_stop, now);
+        let serving_at = others.map_or(own, |at| at.min(own));
+        Some(time_to_return(stop.unaware_until, serving_at, now))
     }
 
-    /// Returns the predicted time from a send to the end of the answer.
-    pub fn predicted_answer_time(&self, job: &Job, generated: u64) -> Duration {
-        job.engine.as_ref().map_or(CALL_DURATION, |spec| {
-            let tokens = job.prompt(generated).tokens;
-            let prefill = engine::prefill_ms(spec, tokens, TYPICAL_PREFILL_ENGINES);
-            STREAM_DURATION + engine::predicted_time(prefill)
+    /// Returns the time for an answer, if this gateway is stopping.
+    pub fn time_in_stop(&self, job: &Job, first_event_ms: Option<f64>) -> Option<TimeInStop> {
+        let now = Instant::now();
+        let state = self.shared.state();
+        let stop = state.stop?;
+        let client = if job.arrived < stop.unaware_until {
+            Client::Unaware
+        } else {
+            Client::Late
+        };
+        let expected = expected_answer(job, first_event_ms);
+        let (route, time_left) = (&job.route.name, job.time_left());
+        let needed = state
+            .answer_times
+            .time_needed(route, expected, client, time_left, now);
+        Some(TimeInStop {
+            needed,
+            left: stop.deadline.saturating_duration_since(now),
         })
     }
 
@@ -235,3 +266,31 @@
         (wait > job.time_left().mul_f64(MAX_QUEUE_WAIT_SHARE)).then_some(wait)
     }
 }
+
+/// Returns what is known of the answer to a job that is not sent yet.
+fn expected_answer(job: &Job, first_event_ms: Option<f64>) -> ExpectedAnswer {
+    if job.route.kind != RouteKind::Streaming {
+        return ExpectedAnswer::Call {
+            objective: job.objective(),
+        };
+    }
+    let Some(spec) = &job.engine else {
+        return ExpectedAnswer::Stream {
+            first_event: job.objective(),
+            pause: job.pause_objective(),
+            max_events: None,
+        };
+    };
+    let tokens = job.prompt(0).tokens;
+    let prefill_ms = engine::prefill_ms(spec, tokens, TYPICAL_PREFILL_ENGINES);
+    let pass_ms = engine::decode_pass_ms(spec, spec.slots as usize, spec.kv_tokens);
+    let events = |tokens: u64| u32::try_from(tokens.div_ceil(u64::from(spec.stride.max(1))));
+    ExpectedAnswer::Stream {
+        first_event: engine::predicted_time(first_event_ms.unwrap_or(prefill_ms)),
+        pause: engine::predicted_time(pass_ms),
+        max_events: job
+            .head
+            .output_tokens
+            .map(|tokens| events(tokens).unwrap_or(u32::MAX)),
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,8 @@
 use briarhall_net::ByteBudget;
 use briarhall_net::Metrics;
 use briarhall_net::Sessions;
+use briarhall_policy::answer_times::AnswerTime;
+use briarhall_policy::answer_times::AnswerTimes;
 use briarhall_policy::cold_replicas::ColdReplicas;
 use briarhall_policy::crashes::Crashes;
 use briarhall_policy::crashing_parts::CrashingParts;
@@ -41,6 +43,7 @@
 use briarhall_policy::window_budget::WindowBudget;
 use briarhall_types::Configuration;
 use briarhall_types::ReplicaId;
+use briarhall_types::RouteName;
 use briarhall_types::ServiceName;
 use briarhall_types::StoreEra;
 use briarhall_types::StorePosition;
@@ -77,6 +80,15 @@
     pub table: Arc<RouteTable>,
 }
 
+/// Limits of a stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopLimits {
+    /// Until when clients may come that asked a directory before the stop.
+    pub unaware_until: Instant,
+    /// When the process ends at the latest.
+    pub deadline: Instant,
+}
+
 /// All control state.
 #[derive(Debug)]
 pub struct State {
@@ -123,8 +135,10 @@
     pub advertised: bool,
     /// Whether this gateway is stopping.
     pub stopping: bool,
-    /// When the process ends at the latest, once it is stopping.
-    pub stop_deadline: Option<Instant>,
+    /// Limits of a stop, once this gateway is stopping.
+    pub stop: Option<StopLimits>,
+    /// Times of the last answers.
+    pub answer_times: AnswerTimes,
     /// Client requests that are not yet answered in full.
     pub in_flight: usize,
     /// Eras of the store in which each list was last read.
@@ -201,7 +215,8 @@
             request_rate: RequestRate::default(),
             advertised: false,
             stopping: false,
-            stop_deadline: None,
+            stop: None,
+            answer_times: AnswerTimes::default(),
             in_flight: 0,
             eras: HashMap::new(),
             budgets: HashMap::new(),
@@ -248,10 +263,10 @@
 
     /// Marks this gateway as stopping, so that directories no longer list it,
     /// and returns how many requests are not yet answered in full.
-    pub fn begin_stop(&self, stop_deadline: Instant) -> usize {
+    pub fn begin_stop(&self, limits: StopLimits) -> usize {
         let mut state = self.state();
         state.stopping = true;
-        state.stop_deadline = Some(stop_deadline);
+        state.stop = Some(limits);
         let in_flight = state.in_flight;
         drop(state);
         self.request_heartbeat();
@@ -292,6 +307,12 @@
         budget.record_request(now);
     }
 
+    /// Records how long a complete answer took.
+    pub fn record_answer_time(&self, route: &RouteName, time: AnswerTime) {
+        let mut state = self.state();
+        state.answer_times.record(route, time, Instant::now());
+    }
+
     /// Returns whether a service's budget allows a retry now.
     pub fn has_budget(&self, service: &ServiceName) -> bool {
         let mut state = self.state();
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -10,12 +10,15 @@
 use briarhall_net::Sessions;
 
 use crate::state::Shared;
+use crate::state::StopLimits;
 
 /// Clients may cache a directory answer for three times its time to live.
 const MAX_CACHE_TTL_FACTOR: u32 = 3;
 /// Margin for the other gateways to learn of the stop, and for inaccurate
 /// clocks of clients.
 const PROPAGATION_MARGIN: Duration = Duration::from_millis(300);
+/// Time in which a process notices the signal.
+const SIGNAL_MARGIN: Duration = Duration::from_millis(100);
 /// Time between two checks for requests in flight.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for which connections that were accepted last may send a request.
@@ -29,9 +32,13 @@
 pub async fn stop(shared: &Arc<Shared>, sessions: &Sessions, end_sessions: Sender<()>) {
     let start = Instant::now();
     let stop_deadline = start + shared.settings.grace.saturating_sub(KILL_MARGIN);
-    let in_flight = shared.begin_stop(stop_deadline);
+    let cached_for = shared.settings.address_ttl * MAX_CACHE_TTL_FACTOR;
+    let in_flight = shared.begin_stop(StopLimits {
+        unaware_until: start + cached_for.saturating_sub(SIGNAL_MARGIN),
+        deadline: stop_deadline,
+    });
     log::info!(event = "stopping", in_flight; "gateway stopping");
-    let client_move_time = shared.settings.address_ttl * MAX_CACHE_TTL_FACTOR + PROPAGATION_MARGIN;
+    let client_move_time = cached_for + PROPAGATION_MARGIN;
     Timer::at((start + client_move_time).min(stop_deadline)).await;
     drop(end_sessions);
     while shared.state().in_flight > 0 && Instant::now() < stop_deadline {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -16,6 +16,7 @@
 use briarhall_net::Framing;
 use briarhall_net::read_within;
 use briarhall_net::timeout;
+use briarhall_policy::answer_times::AnswerTime;
 use briarhall_policy::engine;
 use briarhall_policy::health::SendOutcome;
 use bytes::Bytes;
@@ -237,6 +238,8 @@
     framing: Framing,
     /// Bytes after the last event of an answer that has ended.
     rest_bytes: usize,
+    /// Time that was waited for replicas since the first event.
+    waited: Duration,
 }
 
 impl<W> StreamForwarder<W>
@@ -252,6 +255,7 @@
             events: 0,
             framing,
             rest_bytes: 0,
+            waited: Duration::ZERO,
         }
     }
 
@@ -287,6 +291,7 @@
             "request ended"
         );
         if matches!(ended, StreamEnd::Complete) {
+            self.record_answer_time();
             tx.finish().await;
         }
         // Dropping `tx` without `finish` breaks the client's connection.
@@ -363,13 +368,28 @@
             future::yield_now().await;
             let asked = Instant::now();
             next = source.next(silence.saturating_sub(silent_for)).await;
-            silent_for += asked.elapsed();
+            let waited = asked.elapsed();
+            silent_for += waited;
+            self.waited += waited;
             if let Some(watch) = &mut source.placement.pace_watch {
-                watch.next_item(&self.dispatcher.shared, &next, asked.elapsed());
+                watch.next_item(&self.dispatcher.shared, &next, waited);
             }
         }
     }
 
+    /// Records the time of a complete answer, unless it was resumed.
+    fn record_answer_time(&self) {
+        if self.attempts.may_have_run > 1 {
+            return;
+        }
+        let time = AnswerTime::Stream {
+            generation: self.waited,
+            events: self.events,
+        };
+        let route = &self.job.route.name;
+        self.dispatcher.shared.record_answer_time(route, time);
+    }
+
     fn record(&self, source: &ReplicaStream<W>, outcome: SendOutcome) {
         record_run(
             &self.dispatcher.shared,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! are in separate files.
 
 pub mod advertised;
+pub mod answer_times;
 pub mod claims;
 pub mod cold_replicas;
 pub mod config_store;
@@ -38,6 +39,7 @@
 pub mod request_rate;
 pub mod resumption;
 pub mod retry;
+pub mod return_after_stop;
 pub mod routes;
 pub mod share_allocator;
 pub mod shares_in_shortage;
--- a/crates/policy/src/peers.rs
+++ b/crates/policy/src/peers.rs
@@ -107,6 +107,8 @@
     last_heartbeat: Instant,
     /// Time until the next heartbeat, as the last one announced.
     interval: Duration,
+    /// When it said first that it stops.
+    stopping_since: Option<Instant>,
 }
 
 impl Peer {
@@ -167,10 +169,12 @@
         self.unconfirmed.remove(&presence.gossip_address);
         let Some(peer) = self.peers.get_mut(&presence.vm) else {
             let vm = presence.vm.clone();
+            let stopping_since = presence.stopping.then_some(now);
             let peer = Peer {
                 presence,
                 last_heartbeat: now,
                 interval,
+                stopping_since,
             };
             self.peers.insert(vm, peer);
             return PeerUpdate::Up;
@@ -190,6 +194,8 @@
         let was_up = peer.is_up(now) && same_process;
         let changed =
             peer.presence.ready != presence.ready || peer.presence.stopping != presence.stopping;
+        let stopping_since = peer.stopping_since.filter(|_| same_process);
+        peer.stopping_since = presence.stopping.then(|| stopping_since.unwrap_or(now));
         peer.presence = presence;
         peer.last_heartbeat = now;
         peer.interval = interval;
@@ -231,6 +237,15 @@
         self.up(now).filter(|p| p.ready && !p.stopping)
     }
 
+    /// Returns when the first of the gateways that stop serves again, each of them
+    /// `after` the beginning of its stop. One that is overdue may be gone for good.
+    #[must_use]
+    pub fn first_return(&self, after: Duration, now: Instant) -> Option<Instant> {
+        let stops = self.peers.values().filter_map(|peer| peer.stopping_since);
+        let returns = stops.map(|since| since + after);
+        returns.filter(|at| *at > now).min()
+    }
+
     /// Returns whether a gateway said last that it reaches no replica.
     #[must_use]
     pub fn is_cut_off(&self, vm: &str) -> bool {
--- a/crates/policy/tests/peers.rs
+++ b/crates/policy/tests/peers.rs
@@ -321,3 +321,31 @@
     // The operator has written version 9 again.
     assert!(held(9, 1, 41) > own);
 }
+
+/// Guards against clients that wait for a gateway which has started again, or never comes
+/// back, instead of the next one that does.
+#[test]
+fn the_first_gateway_to_return_is_the_one_that_stopped_first() {
+    let start = Instant::now();
+    let after = Duration::from_secs(9);
+    let mut peers = Peers::default();
+    let mut hear = |vm: &str, incarnation: u64, stopping: bool, at: Instant| {
+        let sequence = u64::try_from((at - start).as_millis()).expect("small");
+        let presence = Presence {
+            vm: vm.into(),
+            stopping,
+            ..presence(incarnation, sequence + 1)
+        };
+        peers.update(presence, HEARTBEAT_INTERVAL, at);
+        peers.first_return(after, at)
+    };
+    let second = |s: u64| start + Duration::from_secs(s);
+    assert_eq!(hear("vm-1", 1, false, start), None);
+    assert_eq!(hear("vm-1", 1, true, second(1)), Some(second(10)));
+    assert_eq!(hear("vm-2", 2, true, second(2)), Some(second(10)));
+    // Later heartbeats of a stop do not move its beginning.
+    assert_eq!(hear("vm-1", 1, true, second(3)), Some(second(10)));
+    // Another process on the VM serves.
+    assert_eq!(hear("vm-1", 3, false, second(6)), Some(second(11)));
+    assert_eq!(hear("vm-3", 4, true, second(12)), Some(second(21)));
+}
