Do not send requests whose headers cannot name the replica that is meant

Cause: an entry's id held control bytes, which headers must not have. The gateway logged that and sent the request without `Expect-Replica`, so the replica at the reused address could not answer 421. The same code left out `Tenant` and `Last-Event-Id`.

Change: a header that cannot be set is an error, and the request counts as one that did not run.

Why it works: no request leaves without the condition that makes it safe.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -36,6 +36,7 @@
 use crate::wire::FailedReplica;
 use crate::wire::ForwardedRequest;
 use crate::wire::ReplyHead;
+use crate::wire::UnsendableHeader;
 use crate::wire::Wire;
 
 /// Time limit for opening a connection: a hundred times what one between
@@ -148,7 +149,10 @@
             return sent.await;
         }
         let opened_at = Instant::now();
-        let req = self.request(job, placement, resume_after);
+        let req = match self.request(job, placement, resume_after) {
+            Ok(req) => req,
+            Err(e) => return record_unsendable(job, id, e, attempts),
+        };
         let address = placement.replica.address;
         let exchange = self.client.start(address, req, CONNECT_TIMEOUT);
         let predicted = engine::predicted_time(placement.predicted_ms);
@@ -284,7 +288,7 @@
         job: &Job,
         placement: &Placement<W>,
         resume_after: Option<&str>,
-    ) -> Request<Body> {
+    ) -> Result<Request<Body>, UnsendableHeader> {
         let forwarded = ForwardedRequest {
             deadline: job.head.deadline.map(|_| job.time_left()),
             replica: &placement.replica.id,
@@ -300,11 +304,29 @@
         let mut req = Request::new(body);
         *req.method_mut() = job.method.clone();
         *req.uri_mut() = job.uri.clone();
-        *req.headers_mut() = self.wire.forwarded_headers(&job.headers, &forwarded);
-        req
+        *req.headers_mut() = self.wire.forwarded_headers(&job.headers, &forwarded)?;
+        Ok(req)
     }
 }
 
+/// Records a request that was not sent, since one of its headers could not be.
+pub fn record_unsendable(
+    job: &Job,
+    to: &str,
+    e: UnsendableHeader,
+    attempts: &mut Attempts,
+) -> SendResult {
+    attempts.refused += 1;
+    log::warn!(
+        event = "header_unsendable",
+        request = job.head.id.as_str(),
+        to,
+        name = e.0;
+        "not sending a request: {e}"
+    );
+    SendResult::NotRun
+}
+
 pub fn log_failed_send(job: &Job, id: &ReplicaId, outcome: &str, detail: u128) {
     log::info!(
         event = "send_failed",
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -28,12 +28,14 @@
 use crate::attempt::SendResult;
 use crate::attempt::elapsed_ms;
 use crate::attempt::log_failed_send;
+use crate::attempt::record_unsendable;
 use crate::guards::WorkGuard;
 use crate::job::Job;
 use crate::patience::Patience;
 use crate::place::Placement;
 use crate::request_error::DEFAULT_RETRY_AFTER;
 use crate::request_error::RequestError;
+use crate::wire::UnsendableHeader;
 use crate::wire::Wire;
 
 /// Header of a request that another gateway sends on, with the number of replicas that
@@ -136,7 +138,10 @@
         attempts: &mut Attempts,
     ) -> SendResult {
         let peer = &placement.replica.id;
-        let req = self.detour_request(job, detour, resume_after);
+        let req = match self.detour_request(job, detour, resume_after) {
+            Ok(req) => req,
+            Err(e) => return record_unsendable(job, peer, e, attempts),
+        };
         let exchange = self
             .client
             .start(placement.replica.address, req, CONNECT_TIMEOUT);
@@ -234,7 +239,7 @@
         job: &Job,
         detour: Detour,
         resume_after: Option<&str>,
-    ) -> Request<Body> {
+    ) -> Result<Request<Body>, UnsendableHeader> {
         let body = if job.body.is_empty() {
             Body::empty()
         } else {
@@ -246,10 +251,10 @@
         let deadline = job.time_left();
         let mut headers = self
             .wire
-            .detour_headers(&job.headers, deadline, resume_after);
+            .detour_headers(&job.headers, deadline, resume_after)?;
         headers.insert(DETOUR, HeaderValue::from(detour.max_attempts));
         *req.headers_mut() = headers;
-        req
+        Ok(req)
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -79,4 +79,5 @@
 pub use wire::ReplicaNotice;
 pub use wire::ReplyHead;
 pub use wire::RequestHead;
+pub use wire::UnsendableHeader;
 pub use wire::Wire;
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -54,6 +54,12 @@
     Malformed(&'static str),
 }
 
+/// A request cannot be sent as it must be: a header's value holds characters that headers
+/// must not have. Without the header it would mean something else.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the value for header `{0}` holds characters that headers must not have")]
+pub struct UnsendableHeader(pub &'static str);
+
 /// Another replica that prefills a part of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Helper {
@@ -140,16 +146,28 @@
     fn request_head(&self, parts: &request::Parts) -> Result<RequestHead, HeadError>;
 
     /// Returns the headers of a forwarded request.
-    fn forwarded_headers(&self, client: &HeaderMap, forwarded: &ForwardedRequest<'_>) -> HeaderMap;
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when one of them cannot be sent.
+    fn forwarded_headers(
+        &self,
+        client: &HeaderMap,
+        forwarded: &ForwardedRequest<'_>,
+    ) -> Result<HeaderMap, UnsendableHeader>;
 
     /// Returns the headers of a request that another gateway sends on, as if the client
     /// had sent it there with this time left.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when one of them cannot be sent.
     fn detour_headers(
         &self,
         client: &HeaderMap,
         deadline: Duration,
         resume_after: Option<&str>,
-    ) -> HeaderMap;
+    ) -> Result<HeaderMap, UnsendableHeader>;
 
     /// Reads the head of a replica's answer.
     fn reply_head(&self, parts: &response::Parts) -> ReplyHead;
