Take a refusal or success only if it names the request

Cause: the id of an answer was compared only if there was one. Each send has its own connection, so an answer without an id was thought to be this send's.

Change: a refusal (`Not-Run`, 421) or a 2xx without the id of the request may be a copy of any answer; the request may have run.

Why it works: what the gateway concludes from an answer it concludes for the request that the answer names.

Tests: stale_refusals. Before: a_refusal_of_no_request, a_misdirection_of_no_request and a_refusal_before_the_request failed ("/post/ r-0 ran 4 times"), three others passed. After: all six pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -191,16 +191,22 @@
             reply: hyper::Response::from_parts(parts, body),
             connection: exchange.connection,
         };
-        if head.request_id.as_ref().is_some_and(|a| *a != job.head.id) {
+        let status = exchange.reply.status();
+        let is_refusal = head.not_run || status == StatusCode::MISDIRECTED_REQUEST;
+        let misdelivered = match &head.request_id {
+            Some(answered) => (*answered != job.head.id).then_some("answer_to_another"),
+            // It may be a late copy of any answer.
+            None => (is_refusal || status.is_success()).then_some("answer_to_none"),
+        };
+        if let Some(misdelivered) = misdelivered {
             // The replica answered another request, so it is alive and this is
             // not evidence of a crash.
             record_outcome(&self.shared, id, SendOutcome::Broken);
             attempts.may_have_run += 1;
-            log_failed_send(job, id, "answer_to_another", 0);
+            log_failed_send(job, id, misdelivered, u128::from(status.as_u16()));
             return SendResult::MayHaveRun;
         }
-        let status = exchange.reply.status();
-        if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
+        if is_refusal {
             let failed = head.failed_replica.as_ref();
             let failed = failed.and_then(|failed| self.replica_id(failed));
             let at_fault = match failed {
