Break streams in which text stands where an event is due

Answers with an error's status, and texts that say so, stayed out before as well.

Cause: whatever an empty line ends counted as an event.

Change: `EventSequence` holds the order of a stream's events. A resumed stream has to go on: its first event has an id if those before had ids, and leaves out no number if they left out none. A block that begins with the head of an answer breaks the stream. Either way the stream is resumed elsewhere, or ends incomplete.

Why it works: only what follows the last event can be the rest of the stream.

Tests: errors_after_a_break, with HTTP/1.1 and 1.0 clients, and event_sequence.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod evacuated;
 mod evacuation_watch;
 mod even_load;
+pub mod event_sequence;
 mod follow;
 mod gossip;
 mod guards;
--- a/crates/gateway/src/replica_stream.rs
+++ b/crates/gateway/src/replica_stream.rs
@@ -33,6 +33,12 @@
 /// Why a stream is broken whose body ended within an event.
 const ENDED_WITHIN_EVENT: &str = "the answer ended within an event";
 
+/// Beginning of the head of an answer.
+const HEAD_START: &[u8] = b"HTTP/1.";
+/// Why a stream is broken in which the head of another answer follows an event: nothing
+/// else marks the end of a body without a length or chunks.
+const HEAD_IN_BODY: &str = "the head of an answer stands where an event is due";
+
 /// A replica's streamed answer.
 pub struct ReplicaStream<W>
 where
@@ -150,6 +156,9 @@
     /// Counts an event. Blank ones before the first are kept for it: they do not show
     /// that an answer has begun.
     fn count(&mut self, mut event: Event) -> Option<StreamItem> {
+        if event.bytes.starts_with(HEAD_START) {
+            return Some(StreamItem::Broken(CompactString::const_new(HEAD_IN_BODY)));
+        }
         if event.is_blank && self.events == 0 {
             if self.preamble.len() + event.bytes.len() > MAX_EVENT_BYTES {
                 return Some(StreamItem::Broken(CompactString::const_new(NO_EVENT)));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -32,6 +32,7 @@
 use crate::attempt::SendResult;
 use crate::attempt::elapsed_ms;
 use crate::buffered::final_error;
+use crate::event_sequence::EventSequence;
 use crate::headers::client_response;
 use crate::job::Job;
 use crate::job::event_timeout;
@@ -70,6 +71,8 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 /// Delay after a replica refused a request.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(10);
+/// Why a resumed stream is broken whose first event does not follow those before it.
+const NOT_CONTINUED: &str = "the answer does not go on after the last event";
 /// Tokens in one event, to estimate what a resumed stream must prefill again.
 const TOKENS_PER_EVENT: u64 = 40;
 
@@ -232,7 +235,7 @@
     dispatcher: Dispatcher<W>,
     job: Job,
     attempts: Attempts,
-    last_id: Option<CompactString>,
+    sequence: EventSequence,
     events: u64,
     /// How the last replica's answer is framed.
     framing: Framing,
@@ -251,7 +254,7 @@
             dispatcher,
             job,
             attempts,
-            last_id: None,
+            sequence: EventSequence::default(),
             events: 0,
             framing,
             rest_bytes: 0,
@@ -317,10 +320,8 @@
                         silent_for = Duration::ZERO;
                     }
                     self.record_begun(&source, &event);
-                    if !self.is_repeated(&event) {
-                        if event.id.is_some() {
-                            self.last_id.clone_from(&event.id);
-                        }
+                    if !self.sequence.is_repeated(&event) {
+                        self.sequence.record(&event);
                         self.events += u64::from(!event.is_blank);
                         if tx.send(event.bytes).await.is_err() {
                             return StreamEnd::ClientLeft;
@@ -408,18 +409,6 @@
         }
     }
 
-    /// Returns whether the client already has an event.
-    fn is_repeated(&self, event: &Event) -> bool {
-        let number = |id: &CompactString| id.parse::<u64>().ok();
-        match (
-            self.last_id.as_ref().and_then(number),
-            event.id.as_ref().and_then(number),
-        ) {
-            (Some(last), Some(id)) => id <= last,
-            _ => false,
-        }
-    }
-
     /// Resumes a silent stream at another replica, and continues with whichever
     /// of the two delivers first. The silent stream is kept until then, as no
     /// other replica may be able to resume it.
@@ -453,7 +442,7 @@
     }
 
     async fn resume(&mut self) -> Option<(ReplicaStream<W>, StreamItem)> {
-        let after = self.last_id.clone();
+        let after = self.sequence.last_id.clone();
         // Without an event id, a replica cannot find where to resume.
         if after.is_none() && self.events > 0 {
             return None;
@@ -476,7 +465,21 @@
             )
             .await
             {
-                StreamStart::Events { source, first, .. } => return Some((*source, first)),
+                StreamStart::Events { source, first, .. } => {
+                    let goes_on = match &first {
+                        StreamItem::Event(event) => self.sequence.is_continued_by(event),
+                        _ => true,
+                    };
+                    if goes_on {
+                        return Some((*source, first));
+                    }
+                    let reason = CompactString::const_new(NOT_CONTINUED);
+                    let broken = StreamItem::Broken(reason);
+                    let id = &source.placement.replica.id;
+                    log_break(&self.job, id, &broken, source.framing, self.events);
+                    self.record(&source, SendOutcome::Broken);
+                    may_have_run = true;
+                }
                 StreamStart::Other(..) | StreamStart::GivenUp(_) => return None,
                 StreamStart::NotRun => {
                     may_have_run = false;
