--- a/crates/gateway/tests/heartbeat.rs
+++ b/crates/gateway/tests/heartbeat.rs
@@ -504,6 +504,24 @@
     });
 }
 
+/// Encoded by build `c3eb081`.
+const EARLIER_BYTES: &[u8] = include_bytes!("data/heartbeat-c3eb081.bin");
+
+/// Guards against heartbeats that gateways of the earlier build read as others, or cannot
+/// read, while VMs are replaced one after the other. A section may follow what they know.
+#[test]
+fn gateways_of_the_earlier_build_read_a_heartbeat() {
+    let bytes = heartbeat_in_shortage().encode();
+    assert!(bytes.starts_with(EARLIER_BYTES), "{bytes:?}");
+}
+
+/// Guards against heartbeats of the earlier build that are read as others.
+#[test]
+fn a_heartbeat_of_the_earlier_build_is_read() {
+    let heartbeat = Heartbeat::decode(EARLIER_BYTES);
+    assert_eq!(heartbeat.as_ref(), Ok(&heartbeat_in_shortage()));
+}
+
 #[test]
 fn a_heartbeat_decodes_to_what_was_encoded() {
     let sent = heartbeat();
