Count a connection as busy until its client has the answer

Without a stop a client that reads for longer than `idle_timeout_ms` was cut as well.

Cause: a request ended when its answer was handed to hyper. From then on the connection counted as idle, and a stopping gateway as done.

Change: a connection delivers its answer until hyper has written all of it, which it shows by flushing the socket. A stop waits for such connections to the end of its time; the idle time-out runs from the last byte that the client took.

Why it works: hyper flushes only when nothing waits to be written, and what the system holds by then is still sent after the process ends.

--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -41,13 +41,14 @@
     let client_move_time = cached_for + PROPAGATION_MARGIN;
     Timer::at((start + client_move_time).min(stop_deadline)).await;
     drop(end_sessions);
-    while shared.state().in_flight > 0 && Instant::now() < stop_deadline {
+    let is_busy = || shared.state().in_flight > 0 || !sessions.are_idle();
+    while is_busy() && Instant::now() < stop_deadline {
         Timer::after(CHECK_INTERVAL).await;
     }
     sessions.stop_accepting();
     let stopped_at = Instant::now();
     let may_send = || stopped_at.elapsed() < LAST_CONNECTIONS_TIME && !sessions.have_ended();
-    while (may_send() || shared.state().in_flight > 0) && Instant::now() < stop_deadline {
+    while (may_send() || is_busy()) && Instant::now() < stop_deadline {
         Timer::after(CHECK_INTERVAL).await;
     }
     Timer::after(FLUSH_DELAY).await;
--- a/crates/net/src/sessions.rs
+++ b/crates/net/src/sessions.rs
@@ -76,6 +76,8 @@
     accepting: (Sender<()>, Receiver<()>),
     /// Number of connections that are open, and of listeners that may accept more.
     open: Arc<AtomicUsize>,
+    /// Number of connections whose client waits for an answer or still reads one.
+    busy: Arc<AtomicUsize>,
 }
 
 /// Counts a connection or a listener until this is dropped.
@@ -97,13 +99,72 @@
 
 /// What a connection is doing, with its start where a timeout applies.
 #[derive(Debug, Clone, Copy)]
-enum ConnectionState {
+enum Activity {
     Idle(Instant),
     Head(Instant),
     Request,
+    /// The answer is complete here, and the client took some of it at this moment.
+    Delivery(Instant),
 }
 
-type SharedState = Arc<Mutex<ConnectionState>>;
+impl Activity {
+    fn is_busy(self) -> bool {
+        matches!(self, Self::Request | Self::Delivery(_))
+    }
+}
+
+/// The state of a connection, which counts while it is busy.
+#[derive(Debug)]
+struct ConnectionState {
+    activity: Mutex<Activity>,
+    busy: Arc<AtomicUsize>,
+}
+
+impl ConnectionState {
+    fn new(busy: &Arc<AtomicUsize>) -> Self {
+        Self {
+            activity: Mutex::new(Activity::Idle(Instant::now())),
+            busy: Arc::clone(busy),
+        }
+    }
+
+    fn activity(&self) -> Activity {
+        *self.activity.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set(&self, new: Activity) {
+        self.update(|_| Some(new));
+    }
+
+    /// Changes the activity to what `next` returns for it, if it returns any.
+    fn update<F>(&self, next: F)
+    where
+        F: FnOnce(Activity) -> Option<Activity>,
+    {
+        let mut activity = self.activity.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(new) = next(*activity) else {
+            return;
+        };
+        match (activity.is_busy(), new.is_busy()) {
+            (false, true) => {
+                self.busy.fetch_add(1, Ordering::Relaxed);
+            }
+            (true, false) => {
+                self.busy.fetch_sub(1, Ordering::Relaxed);
+            }
+            _ => {}
+        }
+        *activity = new;
+    }
+}
+
+impl Drop for ConnectionState {
+    fn drop(&mut self) {
+        self.set(Activity::Idle(Instant::now()));
+    }
+}
+
+type SharedState = Arc<ConnectionState>;
 
 impl Sessions {
     /// Creates sessions that run until the sender of `shutdown` is dropped; each
@@ -116,6 +177,7 @@
             shutdown,
             accepting: async_channel::bounded(1),
             open: Arc::default(),
+            busy: Arc::default(),
         }
     }
 
@@ -139,6 +201,12 @@
         self.open.load(Ordering::Relaxed) == 0
     }
 
+    /// Returns whether no client waits for an answer or still reads one.
+    #[must_use]
+    pub fn are_idle(&self) -> bool {
+        self.busy.load(Ordering::Relaxed) == 0
+    }
+
     /// Accepts connections until told to stop, and answers each request with `handler`.
     pub async fn serve<H>(self, listener: TcpListener, handler: H)
     where
@@ -189,7 +257,7 @@
         // Without `TCP_NODELAY` answers are only slower.
         let _result = stream.set_nodelay(true);
         let accepted = Instant::now();
-        let state = Arc::new(Mutex::new(ConnectionState::Idle(accepted)));
+        let state = Arc::new(ConnectionState::new(&self.busy));
         let socket = stream.clone();
         let is_http_1_0 = AtomicBool::new(false);
         let io = ObservedStream {
@@ -201,7 +269,7 @@
             let handler = handler.clone();
             let state = Arc::clone(&state);
             async move {
-                set_state(&state, ConnectionState::Request);
+                state.set(Activity::Request);
                 let guard = RequestGuard { state };
                 let reply = handler.handle(req, peer).await;
                 Ok::<_, io::Error>(reply.map(|body| GuardedBody {
@@ -249,14 +317,13 @@
     async fn wait_for_timeout(&self, state: &SharedState) {
         loop {
             let limits = self.limits();
-            let current = *state.lock().unwrap_or_else(PoisonError::into_inner);
-            let left = match current {
-                ConnectionState::Idle(since) => limits.idle_timeout.saturating_sub(since.elapsed()),
-                ConnectionState::Head(since) => {
-                    limits.header_timeout.saturating_sub(since.elapsed())
+            let left = match state.activity() {
+                Activity::Idle(since) | Activity::Delivery(since) => {
+                    limits.idle_timeout.saturating_sub(since.elapsed())
                 }
+                Activity::Head(since) => limits.header_timeout.saturating_sub(since.elapsed()),
                 // The next head can begin only after this request has ended.
-                ConnectionState::Request => limits.header_timeout.min(limits.idle_timeout),
+                Activity::Request => limits.header_timeout.min(limits.idle_timeout),
             };
             if left.is_zero() {
                 return;
@@ -302,11 +369,7 @@
     }
 }
 
-fn set_state(state: &SharedState, new: ConnectionState) {
-    *state.lock().unwrap_or_else(PoisonError::into_inner) = new;
-}
-
-/// Marks the connection as idle when its request has been answered.
+/// Marks the beginning of the delivery when the answer is complete here.
 #[derive(Debug)]
 struct RequestGuard {
     state: SharedState,
@@ -314,12 +377,11 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        set_state(&self.state, ConnectionState::Idle(Instant::now()));
+        self.state.set(Activity::Delivery(Instant::now()));
     }
 }
 
-/// A reply's body. Until it is sent, the connection counts as busy with the
-/// request rather than idle.
+/// A reply's body, which is dropped once all of it waits to be written.
 #[derive(Debug)]
 struct GuardedBody {
     body: Body,
@@ -346,7 +408,8 @@
     }
 }
 
-/// A stream that records when the first byte of a head arrives.
+/// A stream that records when the first byte of a head arrives, and when an answer has been
+/// written.
 #[derive(Debug)]
 struct ObservedStream {
     stream: TcpStream,
@@ -361,22 +424,35 @@
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         if matches!(polled, Poll::Ready(Ok(read)) if read > 0) {
-            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-            if matches!(*state, ConnectionState::Idle(_)) {
-                *state = ConnectionState::Head(Instant::now());
-            }
+            self.state.update(|activity| {
+                matches!(activity, Activity::Idle(_)).then(|| Activity::Head(Instant::now()))
+            });
         }
         polled
     }
 }
 
+impl ObservedStream {
+    /// Records that the client took some of an answer.
+    fn record_progress(&self, written: &Poll<io::Result<usize>>) {
+        if matches!(written, Poll::Ready(Ok(written)) if *written > 0) {
+            self.state.update(|activity| {
+                let delivers = matches!(activity, Activity::Delivery(_));
+                delivers.then(|| Activity::Delivery(Instant::now()))
+            });
+        }
+    }
+}
+
 impl AsyncWrite for ObservedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_progress(&polled);
+        polled
     }
 
     fn poll_write_vectored(
@@ -384,11 +460,21 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_progress(&polled);
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        if matches!(polled, Poll::Ready(Ok(()))) {
+            // hyper flushes once nothing waits to be written.
+            self.state.update(|activity| {
+                let delivers = matches!(activity, Activity::Delivery(_));
+                delivers.then(|| Activity::Idle(Instant::now()))
+            });
+        }
+        polled
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
