Count whole answers against their budget until clients have them

Cause: an answer left the budget (24 MiB) when it had been read from the replica, and hyper copied it whole into its write buffer, as a body in memory is one frame.

Change: the bytes hold their share of the budget until they are dropped; a body in memory goes out in frames of 64 KiB, so that hyper copies one when its buffer is nearly empty.

Why it works: what waits for a client is at most the budget, and a frame and hyper's buffer for each connection.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -58,7 +58,7 @@
 const MIN_GATEWAYS: usize = 10;
 
 /// Bytes that all answers together may hold that are read whole before they are passed
-/// on.
+/// on, until their clients have them.
 const MAX_ANSWER_BYTES: usize = 24 * 1024 * 1024;
 
 /// Failed sends that wait for a check.
@@ -155,7 +155,7 @@
     pub settings: Settings,
     /// Counters and latencies.
     pub metrics: Metrics,
-    /// Bytes of answers that are not yet whole.
+    /// Bytes of whole answers that their clients do not have yet.
     pub answer_bytes: ByteBudget,
     /// Random number of this run of the process.
     pub incarnation: Incarnation,
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -17,8 +17,12 @@
 use thiserror::Error;
 
 use crate::ByteBudget;
+use crate::ByteShare;
 
 const CHANNEL_FRAMES: usize = 64;
+/// Longest frame of a body that is complete in memory. hyper copies each frame, and takes
+/// the next one when the client has read most of those before.
+const MAX_FRAME_BYTES: usize = 64 * 1024;
 /// Bytes that are still read and dropped of a body that is too long.
 const DISCARD_BYTES: usize = 64 * 1024 * 1024;
 
@@ -124,7 +128,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Full(bytes) => Poll::Ready(next_piece(bytes).map(|piece| Ok(Frame::data(piece)))),
             Self::Channel(rx) => match rx.as_mut().poll_next(cx) {
                 Poll::Pending => Poll::Pending,
                 Poll::Ready(Some(BodyMessage::Data(bytes))) => {
@@ -150,6 +154,17 @@
     }
 }
 
+/// Takes the next piece of a body that is complete in memory.
+fn next_piece(left: &mut Option<Bytes>) -> Option<Bytes> {
+    let mut bytes = left.take()?;
+    if bytes.len() <= MAX_FRAME_BYTES {
+        return Some(bytes);
+    }
+    let piece = bytes.split_to(MAX_FRAME_BYTES);
+    *left = Some(bytes);
+    Some(piece)
+}
+
 /// An error that occurs when a body cannot be read to its end.
 #[derive(Debug, Error)]
 pub enum ReadBodyError {
@@ -209,9 +224,21 @@
     Ok(buf.freeze())
 }
 
+/// Bytes that count against a budget until they are dropped.
+struct BudgetedBytes {
+    bytes: Vec<u8>,
+    _share: ByteShare,
+}
+
+impl AsRef<[u8]> for BudgetedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// Reads a body of at most `limit` bytes, of which all but the first
-/// [`UNBUDGETED_BYTES`] count against `budget` until it is read. Reads no further than
-/// it has to: the caller closes the connection.
+/// [`UNBUDGETED_BYTES`] count against `budget` until the returned bytes are dropped. Reads
+/// no further than it has to: the caller closes the connection.
 ///
 /// # Errors
 ///
@@ -250,7 +277,10 @@
         }
         buf.extend_from_slice(&data);
     }
-    Ok(Bytes::from(buf))
+    Ok(Bytes::from_owner(BudgetedBytes {
+        bytes: buf,
+        _share: share,
+    }))
 }
 
 /// Reads and drops up to [`DISCARD_BYTES`] more: a client whose connection is
--- a/crates/net/src/byte_budget.rs
+++ b/crates/net/src/byte_budget.rs
@@ -1,12 +1,13 @@
 //! A bound on the bytes that many readers hold together.
 
+use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
 /// Bytes that readers may hold together.
 #[derive(Debug)]
 pub struct ByteBudget {
-    left: AtomicUsize,
+    left: Arc<AtomicUsize>,
 }
 
 impl ByteBudget {
@@ -14,14 +15,15 @@
     #[must_use]
     pub fn new(bytes: usize) -> Self {
         Self {
-            left: AtomicUsize::new(bytes),
+            left: Arc::new(AtomicUsize::new(bytes)),
         }
     }
 
     /// Starts a share of the budget, which holds nothing yet.
-    pub fn share(&self) -> ByteShare<'_> {
+    #[must_use]
+    pub fn share(&self) -> ByteShare {
         ByteShare {
-            budget: self,
+            left: Arc::clone(&self.left),
             held: 0,
         }
     }
@@ -29,17 +31,16 @@
 
 /// What one reader holds of a budget, until this is dropped.
 #[derive(Debug)]
-pub struct ByteShare<'a> {
-    budget: &'a ByteBudget,
+pub struct ByteShare {
+    left: Arc<AtomicUsize>,
     held: usize,
 }
 
-impl ByteShare<'_> {
+impl ByteShare {
     /// Raises the share to `bytes`, unless the budget has too little left.
     pub fn raise_to(&mut self, bytes: usize) -> bool {
         let more = bytes.saturating_sub(self.held);
         let taken = self
-            .budget
             .left
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
                 left.checked_sub(more)
@@ -51,8 +52,8 @@
     }
 }
 
-impl Drop for ByteShare<'_> {
+impl Drop for ByteShare {
     fn drop(&mut self) {
-        self.budget.left.fetch_add(self.held, Ordering::Relaxed);
+        self.left.fetch_add(self.held, Ordering::Relaxed);
     }
 }
