Disconnect clients that read nothing of an answer in memory

A connection delivers from the moment at which the answer is complete in memory, and is idle when it is flushed after the last frame.

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -111,6 +111,12 @@
         Self::Full(Some(bytes.into()))
     }
 
+    /// Returns whether the body is complete in memory.
+    #[must_use]
+    pub fn is_in_memory(&self) -> bool {
+        matches!(self, Self::Full(_))
+    }
+
     /// Creates a body that is streamed through a channel.
     #[must_use]
     pub fn channel() -> (BodySender, Self) {
--- a/crates/net/src/sessions.rs
+++ b/crates/net/src/sessions.rs
@@ -103,8 +103,16 @@
     Idle(Instant),
     Head(Instant),
     Request,
-    /// The answer is complete here, and the client took some of it at this moment.
-    Delivery(Instant),
+    /// The answer is complete here, and the client reads it.
+    Delivery(Delivery),
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Delivery {
+    /// When the client last took some of the answer.
+    progress: Instant,
+    /// Whether the rest of the answer waits to be written.
+    is_last: bool,
 }
 
 impl Activity {
@@ -272,6 +280,9 @@
                 state.set(Activity::Request);
                 let guard = RequestGuard { state };
                 let reply = handler.handle(req, peer).await;
+                if reply.body().is_in_memory() {
+                    guard.deliver(false);
+                }
                 Ok::<_, io::Error>(reply.map(|body| GuardedBody {
                     body,
                     _guard: guard,
@@ -318,9 +329,10 @@
         loop {
             let limits = self.limits();
             let left = match state.activity() {
-                Activity::Idle(since) | Activity::Delivery(since) => {
-                    limits.idle_timeout.saturating_sub(since.elapsed())
-                }
+                Activity::Idle(since)
+                | Activity::Delivery(Delivery {
+                    progress: since, ..
+                }) => limits.idle_timeout.saturating_sub(since.elapsed()),
                 Activity::Head(since) => limits.header_timeout.saturating_sub(since.elapsed()),
                 // The next head can begin only after this request has ended.
                 Activity::Request => limits.header_timeout.min(limits.idle_timeout),
@@ -375,9 +387,20 @@
     state: SharedState,
 }
 
+impl RequestGuard {
+    /// Records that the answer is complete here, and whether all that is left of it waits
+    /// to be written.
+    fn deliver(&self, is_last: bool) {
+        self.state.set(Activity::Delivery(Delivery {
+            progress: Instant::now(),
+            is_last,
+        }));
+    }
+}
+
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.state.set(Activity::Delivery(Instant::now()));
+        self.deliver(true);
     }
 }
 
@@ -436,9 +459,14 @@
     /// Records that the client took some of an answer.
     fn record_progress(&self, written: &Poll<io::Result<usize>>) {
         if matches!(written, Poll::Ready(Ok(written)) if *written > 0) {
-            self.state.update(|activity| {
-                let delivers = matches!(activity, Activity::Delivery(_));
-                delivers.then(|| Activity::Delivery(Instant::now()))
+            self.state.update(|activity| match activity {
+                Activity::Delivery(Delivery { is_last, .. }) => {
+                    Some(Activity::Delivery(Delivery {
+                        progress: Instant::now(),
+                        is_last,
+                    }))
+                }
+                _ => None,
             });
         }
     }
@@ -469,9 +497,11 @@
         let polled = Pin::new(&mut self.stream).poll_flush(cx);
         if matches!(polled, Poll::Ready(Ok(()))) {
             // hyper flushes once nothing waits to be written.
-            self.state.update(|activity| {
-                let delivers = matches!(activity, Activity::Delivery(_));
-                delivers.then(|| Activity::Idle(Instant::now()))
+            self.state.update(|activity| match activity {
+                Activity::Delivery(Delivery { is_last: true, .. }) => {
+                    Some(Activity::Idle(Instant::now()))
+                }
+                _ => None,
             });
         }
         polled
