Logs: requests that end with a stopping process

Change: `cut_by_stop` for each request that ends with the process, with its age, the time since it was sent, and the time since the signal. Requests in flight are kept with their ids in place of a count. The end of a program waits up to 100 ms until its last lines are written.

No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -143,6 +143,7 @@
             return SendResult::NotRun;
         }
         attempts.tried.push(id.clone());
+        job.in_flight.sent(id);
         if let Some(detour) = placement.detour {
             let sent =
                 self.send_by_detour(job, placement, detour, resume_after, patience, attempts);
--- a/crates/gateway/src/client_request.rs
+++ b/crates/gateway/src/client_request.rs
@@ -164,7 +164,7 @@
         body: Incoming,
         detour: Option<u32>,
     ) -> Result<Response<Body>, RequestError> {
-        let in_flight = InFlight::new(&self.dispatcher.shared);
+        let in_flight = InFlight::new(&self.dispatcher.shared, head.id.clone(), arrived);
         self.dispatcher.pause_guard.confirmed().await;
         let Admitted {
             table,
@@ -203,7 +203,7 @@
             max_attempts: detour.map_or(allowed, |max| max.clamp(1, allowed)),
             is_detoured: detour.is_some(),
             known_fingerprint: OnceLock::new(),
-            _in_flight: in_flight,
+            in_flight,
         };
         if job.route.kind == RouteKind::Streaming {
             stream::serve(&self.dispatcher, job).await
--- a/crates/gateway/src/guards.rs
+++ b/crates/gateway/src/guards.rs
@@ -3,10 +3,13 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use briarhall_policy::in_flight::InFlightKey;
 use briarhall_policy::load_tracker::Work;
 use briarhall_policy::load_tracker::WorkKey;
 use briarhall_policy::prompt_queue::QueuedPrompt;
 use briarhall_policy::prompt_queue::QueuedPromptKey;
+use briarhall_types::ReplicaId;
+use compact_str::CompactString;
 
 use crate::state::Shared;
 use crate::state::State;
@@ -75,25 +78,33 @@
     }
 }
 
-/// Counts a client's request until it is answered in full.
+/// Keeps a client's request among those in flight until it is answered in full.
 #[derive(Debug)]
 pub struct InFlight {
     shared: Arc<Shared>,
+    key: InFlightKey,
 }
 
 impl InFlight {
-    /// Counts a request.
-    pub fn new(shared: &Arc<Shared>) -> Self {
-        shared.state().in_flight += 1;
+    /// Adds a request whose head arrived at `arrived`.
+    pub fn new(shared: &Arc<Shared>, id: CompactString, arrived: Instant) -> Self {
+        let key = shared.state().in_flight.add(id, arrived);
         Self {
             shared: Arc::clone(shared),
+            key,
         }
     }
+
+    /// Records that the request is sent to a replica.
+    pub fn sent(&self, replica: &ReplicaId) {
+        let mut state = self.shared.state();
+        state.in_flight.sent(self.key, replica, Instant::now());
+    }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.shared.state().in_flight -= 1;
+        self.shared.state().in_flight.remove(self.key);
     }
 }
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -87,8 +87,8 @@
     pub is_detoured: bool,
     /// Its [`fingerprint`](Job::fingerprint), once it was asked for.
     pub known_fingerprint: OnceLock<Fingerprint>,
-    /// Counts the request, so that a stopping process waits for it.
-    pub _in_flight: InFlight,
+    /// Keeps the request in flight, so that a stopping process waits for it.
+    pub in_flight: InFlight,
 }
 
 /// Returns how long a client waits for the first event of a stream, or for the
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,6 +23,7 @@
 use briarhall_policy::evacuations::Evacuations;
 use briarhall_policy::health::Health;
 use briarhall_policy::health::SendOutcome;
+use briarhall_policy::in_flight::InFlightRequests;
 use briarhall_policy::load_tracker::LoadTracker;
 use briarhall_policy::load_tracker::tag;
 use briarhall_policy::pace::Pace;
@@ -140,7 +141,7 @@
     /// Times of the last answers.
     pub answer_times: AnswerTimes,
     /// Client requests that are not yet answered in full.
-    pub in_flight: usize,
+    pub in_flight: InFlightRequests,
     /// Eras of the store in which each list was last read.
     eras: HashMap<&'static str, StoreEra>,
     budgets: HashMap<ServiceName, WindowBudget>,
@@ -217,7 +218,7 @@
             stopping: false,
             stop: None,
             answer_times: AnswerTimes::default(),
-            in_flight: 0,
+            in_flight: InFlightRequests::default(),
             eras: HashMap::new(),
             budgets: HashMap::new(),
             sequence: 0,
@@ -267,7 +268,7 @@
         let mut state = self.state();
         state.stopping = true;
         state.stop = Some(limits);
-        let in_flight = state.in_flight;
+        let in_flight = state.in_flight.len();
         drop(state);
         self.request_heartbeat();
         in_flight
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -9,6 +9,7 @@
 use async_io::Timer;
 use briarhall_net::Sessions;
 
+use crate::attempt::elapsed_ms;
 use crate::state::Shared;
 use crate::state::StopLimits;
 
@@ -41,7 +42,7 @@
     let client_move_time = cached_for + PROPAGATION_MARGIN;
     Timer::at((start + client_move_time).min(stop_deadline)).await;
     drop(end_sessions);
-    let is_busy = || shared.state().in_flight > 0 || !sessions.are_idle();
+    let is_busy = || !shared.state().in_flight.is_empty() || !sessions.are_idle();
     while is_busy() && Instant::now() < stop_deadline {
         Timer::after(CHECK_INTERVAL).await;
     }
@@ -52,6 +53,28 @@
         Timer::after(CHECK_INTERVAL).await;
     }
     Timer::after(FLUSH_DELAY).await;
-    let in_flight = shared.state().in_flight;
-    log::info!(event = "stopped", in_flight; "gateway stopped");
+    log_cut(shared, start);
+}
+
+/// Logs the requests that end without an answer as the process does.
+fn log_cut(shared: &Shared, stop_began: Instant) {
+    let state = shared.state();
+    let in_flight = state.in_flight.len();
+    for request in state.in_flight.iter() {
+        let (replica, sent_ms) = match &request.sent {
+            Some((replica, at)) => (replica.as_str(), elapsed_ms(*at)),
+            None => ("", 0),
+        };
+        log::warn!(
+            event = "cut_by_stop",
+            request = request.id.as_str(),
+            replica,
+            sent_ms,
+            age_ms = elapsed_ms(request.arrived),
+            stopping_ms = elapsed_ms(stop_began);
+            "the process ends before the request does"
+        );
+    }
+    drop(state);
+    log::info!(event = "stopped", in_flight, stopping_ms = elapsed_ms(stop_began); "gateway stopped");
 }
--- a/crates/net/src/logging.rs
+++ b/crates/net/src/logging.rs
@@ -10,8 +10,11 @@
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::TrySendError;
 use std::sync::mpsc::sync_channel;
 use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
 use flexi_logger::DeferredNow;
 use flexi_logger::FlexiLoggerError;
@@ -28,6 +31,10 @@
 /// Lines that can wait to be written; a busy gateway logs about as many in a
 /// second.
 const QUEUE_LINES: usize = 512;
+/// Time for which the end of a program waits until its last lines are written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time between two tries to ask for that while the queue is full.
+const FLUSH_RETRY_DELAY: Duration = Duration::from_millis(1);
 
 /// An error that occurs when log levels cannot be parsed.
 #[derive(Debug, Error)]
@@ -48,10 +55,12 @@
     Stderr,
 }
 
-/// Keeps the logger running until dropped.
+/// Keeps the logger running until dropped. Dropping it waits a moment until the last
+/// lines are written.
 #[must_use = "logging stops when this is dropped"]
 pub struct Logging {
     _handle: LoggerHandle,
+    tx: SyncSender<QueueItem>,
 }
 
 impl std::fmt::Debug for Logging {
@@ -72,19 +81,47 @@
             levels: levels.to_owned(),
             source,
         };
+        let queue = LogQueue::start(target);
+        let tx = queue.tx.clone();
         let handle = Logger::try_with_str(format!("{levels},{LIBRARY_LEVELS}"))
             .map_err(error)?
             .format(json_format)
-            .log_to_writer(Box::new(LogQueue::start(target)))
+            .log_to_writer(Box::new(queue))
             .start()
             .map_err(error)?;
-        Ok(Self { _handle: handle })
+        Ok(Self {
+            _handle: handle,
+            tx,
+        })
+    }
+}
+
+impl Drop for Logging {
+    fn drop(&mut self) {
+        let ends = Instant::now() + FLUSH_TIMEOUT;
+        let (written, is_written) = sync_channel(1);
+        while let Err(e) = self.tx.try_send(QueueItem::Flush(written.clone())) {
+            if matches!(e, TrySendError::Disconnected(_)) || Instant::now() >= ends {
+                return;
+            }
+            thread::sleep(FLUSH_RETRY_DELAY);
+        }
+        drop(written);
+        // Whoever reads the log may have stopped; the program ends all the same.
+        let _written = is_written.recv_timeout(ends.saturating_duration_since(Instant::now()));
     }
 }
 
+/// What the writer thread does next.
+enum QueueItem {
+    Line(Vec<u8>),
+    /// Answers once all lines before it are written.
+    Flush(SyncSender<()>),
+}
+
 /// A bounded queue of lines for the writer thread.
 struct LogQueue {
-    tx: SyncSender<Vec<u8>>,
+    tx: SyncSender<QueueItem>,
     dropped: AtomicU64,
     format: FormatFunction,
 }
@@ -107,14 +144,22 @@
     }
 
     fn enqueue(&self, line: Vec<u8>) {
-        if self.tx.try_send(line).is_err() {
+        if self.tx.try_send(QueueItem::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
 }
 
-fn write_lines(rx: &Receiver<Vec<u8>>, target: LogTarget) {
-    while let Ok(line) = rx.recv() {
+fn write_lines(rx: &Receiver<QueueItem>, target: LogTarget) {
+    while let Ok(item) = rx.recv() {
+        let line = match item {
+            QueueItem::Line(line) => line,
+            QueueItem::Flush(written) => {
+                // The program may have ended its wait.
+                let _waits = written.try_send(());
+                continue;
+            }
+        };
         let written = match target {
             LogTarget::Stdout => io::stdout().lock().write_all(&line),
             LogTarget::Stderr => io::stderr().lock().write_all(&line),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod fleet;
 pub mod gang;
 pub mod health;
+pub mod in_flight;
 pub mod lease;
 pub mod limits;
 pub mod load_tracker;
