Take late requests in a planned stop only if their deadline ends in time

What callers saw: streams, and calls that must not run twice, were passed on by a gateway late in its planned stop and cut without a whole answer as it ended (LOST).

Class of fault: a prediction where a bound is needed.

Evidence: late_in_stop::streams_of_engines_that_fall_silent_are_not_cut_by_a_stop and calls_of_replicas_that_fall_silent_are_not_cut_by_a_stop failed before (streams sent 4.75 s and calls sent 6.55 s after SIGTERM were cut) and pass now, with all 17 tests of stops.

Change: a request that comes when its client must know of the stop is taken only if its own deadline, or its route's time-out, ends before the process does. That is the only bound. All others are refused at once and told when to come back. The limit lies 250 ms before the end of the process, in which a VM with little processor time notices the signal; the same margin ends the time in which clients count as unaware, 0.15 s earlier than before. What an answer at its slowest pace would need is no longer computed.

Tests: a_late_stream_needs_time_for_its_longest_answer, _at_the_slowest_pace and _without_a_bound_needs_all_its_time become one, which asks for all the time until the deadline in each case, as much or more than before; the test of calls asks for the same in place of the slowest of the last.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -61,6 +61,12 @@
 }
 
 impl Attempts {
+    /// Records that the job is sent to a replica now.
+    fn begin(&mut self, job: &Job, id: &ReplicaId) {
+        self.tried.push(id.clone());
+        job.in_flight.sent(id);
+    }
+
     /// Returns whether the job may be sent once more after a send that may have
     /// run or, if `may_have_run` is false, did not run.
     #[must_use]
@@ -142,8 +148,7 @@
             log_failed_send(job, id, "paused", 0);
             return SendResult::NotRun;
         }
-        attempts.tried.push(id.clone());
-        job.in_flight.sent(id);
+        attempts.begin(job, id);
         if let Some(detour) = placement.detour {
             let sent =
                 self.send_by_detour(job, placement, detour, resume_after, patience, attempts);
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -12,7 +12,6 @@
 use briarhall_net::Framing;
 use briarhall_net::read_within;
 use briarhall_net::timeout;
-use briarhall_policy::answer_times::AnswerTime;
 use briarhall_policy::health::SendOutcome;
 use hyper::Response;
 use hyper::http::response;
@@ -81,7 +80,7 @@
                         let shared = &dispatcher.shared;
                         record_run(shared, job, placement.sent_to(), outcome, Written::Some);
                         if !failed {
-                            let took = AnswerTime::Call(placement.placed_at.elapsed());
+                            let took = placement.placed_at.elapsed();
                             shared.record_answer_time(&job.route.name, took);
                         }
                         if let Some(watch) = placement.pace_watch.as_ref().filter(|_| !failed) {
--- a/crates/gateway/src/refusals.rs
+++ b/crates/gateway/src/refusals.rs
@@ -49,7 +49,7 @@
 pub struct TimeInStop {
     /// Time that the answer may take.
     pub needed: Duration,
-    /// Time until the process ends at the latest.
+    /// Time until it has to end.
     pub left: Duration,
 }
 
@@ -225,9 +225,13 @@
         let needed = state
             .answer_times
             .time_needed(route, expected, client, time_left, now);
+        let until = match client {
+            Client::Unaware => stop.deadline,
+            Client::Late => stop.late_answers_until,
+        };
         Some(TimeInStop {
             needed,
-            left: stop.deadline.saturating_duration_since(now),
+            left: until.saturating_duration_since(now),
         })
     }
 
@@ -274,23 +278,10 @@
             objective: job.objective(),
         };
     }
-    let Some(spec) = &job.engine else {
-        return ExpectedAnswer::Stream {
-            first_event: job.objective(),
-            pause: job.pause_objective(),
-            max_events: None,
-        };
-    };
-    let tokens = job.prompt(0).tokens;
-    let prefill_ms = engine::prefill_ms(spec, tokens, TYPICAL_PREFILL_ENGINES);
-    let pass_ms = engine::decode_pass_ms(spec, spec.slots as usize, spec.kv_tokens);
-    let events = |tokens: u64| u32::try_from(tokens.div_ceil(u64::from(spec.stride.max(1))));
-    ExpectedAnswer::Stream {
-        first_event: engine::predicted_time(first_event_ms.unwrap_or(prefill_ms)),
-        pause: engine::predicted_time(pass_ms),
-        max_events: job
-            .head
-            .output_tokens
-            .map(|tokens| events(tokens).unwrap_or(u32::MAX)),
-    }
+    let first_event = job.engine.as_ref().map_or(job.objective(), |spec| {
+        let tokens = job.prompt(0).tokens;
+        let prefill_ms = engine::prefill_ms(spec, tokens, TYPICAL_PREFILL_ENGINES);
+        engine::predicted_time(first_event_ms.unwrap_or(prefill_ms))
+    });
+    ExpectedAnswer::Stream { first_event }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::time::Duration;
 use std::time::Instant;
 
 use async_channel::Receiver;
@@ -14,7 +15,6 @@
 use briarhall_net::ByteBudget;
 use briarhall_net::Metrics;
 use briarhall_net::Sessions;
-use briarhall_policy::answer_times::AnswerTime;
 use briarhall_policy::answer_times::AnswerTimes;
 use briarhall_policy::cold_replicas::ColdReplicas;
 use briarhall_policy::crashes::Crashes;
@@ -86,6 +86,8 @@
 pub struct StopLimits {
     /// Until when clients may come that asked a directory before the stop.
     pub unaware_until: Instant,
+    /// When answers to clients that come later have to end.
+    pub late_answers_until: Instant,
     /// When the process ends at the latest.
     pub deadline: Instant,
 }
@@ -309,7 +311,7 @@
     }
 
     /// Records how long a complete answer took.
-    pub fn record_answer_time(&self, route: &RouteName, time: AnswerTime) {
+    pub fn record_answer_time(&self, route: &RouteName, time: Duration) {
         let mut state = self.state();
         state.answer_times.record(route, time, Instant::now());
     }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -18,8 +18,8 @@
 /// Margin for the other gateways to learn of the stop, and for inaccurate
 /// clocks of clients.
 const PROPAGATION_MARGIN: Duration = Duration::from_millis(300);
-/// Time in which a process notices the signal.
-const SIGNAL_MARGIN: Duration = Duration::from_millis(100);
+/// Time in which a process notices the signal, on a VM with little processor time.
+const SIGNAL_MARGIN: Duration = Duration::from_millis(250);
 /// Time between two checks for requests in flight.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for which connections that were accepted last may send a request.
@@ -36,6 +36,7 @@
     let cached_for = shared.settings.address_ttl * MAX_CACHE_TTL_FACTOR;
     let in_flight = shared.begin_stop(StopLimits {
         unaware_until: start + cached_for.saturating_sub(SIGNAL_MARGIN),
+        late_answers_until: stop_deadline.checked_sub(SIGNAL_MARGIN).unwrap_or(start),
         deadline: stop_deadline,
     });
     log::info!(event = "stopping", in_flight; "gateway stopping");
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -16,7 +16,6 @@
 use briarhall_net::Framing;
 use briarhall_net::read_within;
 use briarhall_net::timeout;
-use briarhall_policy::answer_times::AnswerTime;
 use briarhall_policy::engine;
 use briarhall_policy::health::SendOutcome;
 use bytes::Bytes;
@@ -383,12 +382,9 @@
         if self.attempts.may_have_run > 1 {
             return;
         }
-        let time = AnswerTime::Stream {
-            generation: self.waited,
-            events: self.events,
-        };
         let route = &self.job.route.name;
-        self.dispatcher.shared.record_answer_time(route, time);
+        let shared = &self.dispatcher.shared;
+        shared.record_answer_time(route, self.waited);
     }
 
     fn record(&self, source: &ReplicaStream<W>, outcome: SendOutcome) {
--- a/crates/policy/src/answer_times.rs
+++ b/crates/policy/src/answer_times.rs
@@ -1,10 +1,11 @@
-//! Predicts how long an answer takes at most, for a gateway that is about to stop.
+//! Time to keep for an answer while a gateway is about to stop.
 //!
-//! How long a generated answer is shows only at its end: most are short, and some are as
-//! long as the request allows. A client that could not know of the stop is better served
-//! by an answer that is cut once in a while than by a refusal each time. Any other has
-//! come although no directory names the gateway any more, and is taken only if even the
-//! longest answer ends in time.
+//! How long an answer takes shows only at its end: most are short, some are as long as the
+//! request allows, and a sound replica may fall silent meanwhile. A client that could not
+//! know of the stop is better served by an answer that is cut once in a while than by a
+//! refusal each time, so a typical answer counts for it. Any other has come although no
+//! directory names the gateway any more, and is served only if its answer cannot outlast
+//! the process: nothing but the deadline of the request bounds it.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -20,42 +21,6 @@
 /// Time to generate an answer of a route that has had none: 40 events, each of a decode
 /// pass of 50 ms.
 const TYPICAL_GENERATION: Duration = Duration::from_secs(2);
-/// Time beyond its prediction that the first event of an answer may take.
-const FIRST_EVENT_MARGIN: Duration = Duration::from_millis(500);
-
-/// A complete answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AnswerTime {
-    /// Time from the send of a call to the end of its answer.
-    Call(Duration),
-    /// A stream.
-    Stream {
-        /// Time that the replica took from the first event to the end.
-        generation: Duration,
-        /// Number of events.
-        events: u64,
-    },
-}
-
-impl AnswerTime {
-    /// Time that is compared with that of other answers of the route.
-    fn total(self) -> Duration {
-        match self {
-            Self::Call(time) => time,
-            Self::Stream { generation, .. } => generation,
-        }
-    }
-
-    fn pause(self) -> Duration {
-        match self {
-            Self::Call(_) => Duration::ZERO,
-            Self::Stream { generation, events } => {
-                let pauses = u32::try_from(events.saturating_sub(1)).unwrap_or(u32::MAX);
-                generation.checked_div(pauses).unwrap_or_default()
-            }
-        }
-    }
-}
 
 /// What is known of an answer before its request is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,10 +34,6 @@
     Stream {
         /// Predicted time to the first event.
         first_event: Duration,
-        /// Time between two events at an engine that is full.
-        pause: Duration,
-        /// Most events that the request allows, if it names a bound.
-        max_events: Option<u32>,
     },
 }
 
@@ -88,12 +49,13 @@
 /// Times of the last answers.
 #[derive(Debug, Default)]
 pub struct AnswerTimes {
-    routes: HashMap<RouteName, VecDeque<(Instant, AnswerTime)>>,
+    routes: HashMap<RouteName, VecDeque<(Instant, Duration)>>,
 }
 
 impl AnswerTimes {
-    /// Records a complete answer.
-    pub fn record(&mut self, route: &RouteName, time: AnswerTime, now: Instant) {
+    /// Records the time that a replica took for a complete call, or for a stream from its
+    /// first event on.
+    pub fn record(&mut self, route: &RouteName, time: Duration, now: Instant) {
         if !self.routes.contains_key(route) {
             self.forget_old(now);
         }
@@ -112,7 +74,7 @@
             .retain(|_, answers| answers.back().is_some_and(|(at, _)| is_recent(*at)));
     }
 
-    fn recent(&self, route: &RouteName, now: Instant) -> impl Iterator<Item = AnswerTime> {
+    fn recent(&self, route: &RouteName, now: Instant) -> impl Iterator<Item = Duration> {
         let answers = self.routes.get(route).into_iter().flatten();
         let recent = answers.filter(move |(at, _)| now.saturating_duration_since(*at) <= WINDOW);
         recent.map(|(_, time)| *time)
@@ -129,52 +91,25 @@
         time_left: Duration,
         now: Instant,
     ) -> Duration {
-        let needed = match client {
-            Client::Unaware => Some(self.typical(route, expected, now)),
-            Client::Late => self.longest(route, expected, now),
-        };
-        // No answer goes on after the deadline.
-        needed.map_or(time_left, |needed| needed.min(time_left))
+        match client {
+            // No answer goes on after the deadline.
+            Client::Unaware => self.typical(route, expected, now).min(time_left),
+            Client::Late => time_left,
+        }
     }
 
     fn typical(&self, route: &RouteName, expected: ExpectedAnswer, now: Instant) -> Duration {
         let (mut sum, mut count) = (Duration::ZERO, 0);
         for time in self.recent(route, now) {
-            sum = sum.saturating_add(time.total());
+            sum = sum.saturating_add(time);
             count += 1;
         }
         let mean = sum.checked_div(count);
         match expected {
             ExpectedAnswer::Call { objective } => mean.unwrap_or(objective),
-            ExpectedAnswer::Stream { first_event, .. } => {
+            ExpectedAnswer::Stream { first_event } => {
                 first_event.saturating_add(mean.unwrap_or(TYPICAL_GENERATION))
             }
         }
     }
-
-    /// Returns the time of the longest answer, if it is bounded.
-    fn longest(
-        &self,
-        route: &RouteName,
-        expected: ExpectedAnswer,
-        now: Instant,
-    ) -> Option<Duration> {
-        match expected {
-            ExpectedAnswer::Call { objective } => {
-                let slowest = self.recent(route, now).map(AnswerTime::total).max();
-                Some(slowest.unwrap_or_default().max(objective))
-            }
-            ExpectedAnswer::Stream {
-                first_event,
-                pause,
-                max_events,
-            } => {
-                let slowest = self.recent(route, now).map(AnswerTime::pause).max();
-                let generation = slowest.unwrap_or_default().max(pause);
-                let generation = generation.saturating_mul(max_events?);
-                let first_event = first_event.saturating_add(FIRST_EVENT_MARGIN);
-                Some(first_event.saturating_add(generation))
-            }
-        }
-    }
 }
