End a process only behind a gate, with an answer for what is in flight

Cause: the process decided to end when nothing was in flight, and went on taking requests until it had ended: for the 60 ms of the flush at least, for longer where timers fire late. What was in flight at the end of the grace period simply ended. Class of fault: a decision that does not bind what comes after it.

Change: a gate closes in the same step in which nothing is found in flight; whatever comes later is refused as not run. At the end of the grace period each request to whose client nothing has been sent gets an answer: 503 if it was never sent to a replica, 502 otherwise. The process ends 0.3 s instead of 0.2 s before it is killed, to write these.

--- a/crates/gateway/src/client_request.rs
+++ b/crates/gateway/src/client_request.rs
@@ -17,6 +17,7 @@
 use briarhall_types::Route;
 use briarhall_types::RouteKind;
 use compact_str::CompactString;
+use futures_lite::future;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -33,6 +34,7 @@
 use crate::guards::InFlight;
 use crate::job::Job;
 use crate::job::deadline;
+use crate::request_error::DEFAULT_RETRY_AFTER;
 use crate::request_error::RequestError;
 use crate::state::Shared;
 use crate::stream;
@@ -164,7 +166,38 @@
         body: Incoming,
         detour: Option<u32>,
     ) -> Result<Response<Body>, RequestError> {
-        let in_flight = InFlight::new(&self.dispatcher.shared, head.id.clone(), arrived);
+        let shared = &self.dispatcher.shared;
+        let in_flight = InFlight::new(shared, head.id.clone(), arrived);
+        let in_flight = Arc::new(in_flight.ok_or_else(|| self.not_run_in_stop())?);
+        let served = self.serve_admitted(arrived, parts, head, body, detour, &in_flight);
+        let ended = async {
+            shared.requests_end().await;
+            Err(if in_flight.was_sent() {
+                RequestError::AnswerLost
+            } else {
+                self.not_run_in_stop()
+            })
+        };
+        future::or(served, ended).await
+    }
+
+    /// Returns the error of a request that has not run, and will not as this process ends.
+    fn not_run_in_stop(&self) -> RequestError {
+        let wait = self.dispatcher.return_after_stop();
+        RequestError::NotRun {
+            retry_after: wait.unwrap_or(DEFAULT_RETRY_AFTER),
+        }
+    }
+
+    async fn serve_admitted(
+        &self,
+        arrived: Instant,
+        parts: request::Parts,
+        head: RequestHead,
+        body: Incoming,
+        detour: Option<u32>,
+        in_flight: &Arc<InFlight>,
+    ) -> Result<Response<Body>, RequestError> {
         self.dispatcher.pause_guard.confirmed().await;
         let Admitted {
             table,
@@ -203,7 +236,7 @@
             max_attempts: detour.map_or(allowed, |max| max.clamp(1, allowed)),
             is_detoured: detour.is_some(),
             known_fingerprint: OnceLock::new(),
-            in_flight,
+            in_flight: Arc::clone(in_flight),
         };
         if job.route.kind == RouteKind::Streaming {
             stream::serve(&self.dispatcher, job).await
--- a/crates/gateway/src/guards.rs
+++ b/crates/gateway/src/guards.rs
@@ -86,13 +86,18 @@
 }
 
 impl InFlight {
-    /// Adds a request whose head arrived at `arrived`.
-    pub fn new(shared: &Arc<Shared>, id: CompactString, arrived: Instant) -> Self {
-        let key = shared.state().in_flight.add(id, arrived);
-        Self {
+    /// Adds a request whose head arrived at `arrived`, unless this process is about to end.
+    pub fn new(shared: &Arc<Shared>, id: CompactString, arrived: Instant) -> Option<Self> {
+        let key = shared.state().in_flight.add(id, arrived)?;
+        Some(Self {
             shared: Arc::clone(shared),
             key,
-        }
+        })
+    }
+
+    /// Returns whether the request was sent to a replica, so that it may have run.
+    pub fn was_sent(&self) -> bool {
+        self.shared.state().in_flight.was_sent(self.key)
     }
 
     /// Records that the request is sent to a replica.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -88,7 +88,7 @@
     /// Its [`fingerprint`](Job::fingerprint), once it was asked for.
     pub known_fingerprint: OnceLock<Fingerprint>,
     /// Keeps the request in flight, so that a stopping process waits for it.
-    pub in_flight: InFlight,
+    pub in_flight: Arc<InFlight>,
 }
 
 /// Returns how long a client waits for the first event of a stream, or for the
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,6 +24,7 @@
 use briarhall_policy::health::Health;
 use briarhall_policy::health::SendOutcome;
 use briarhall_policy::in_flight::InFlightRequests;
+use briarhall_policy::in_flight::RequestInFlight;
 use briarhall_policy::load_tracker::LoadTracker;
 use briarhall_policy::load_tracker::tag;
 use briarhall_policy::pace::Pace;
@@ -88,7 +89,7 @@
     pub unaware_until: Instant,
     /// When answers to clients that come later have to end.
     pub late_answers_until: Instant,
-    /// When the process ends at the latest.
+    /// When the process answers what is still in flight, and ends.
     pub deadline: Instant,
 }
 
@@ -167,6 +168,8 @@
     failed: Sender<FailedSend>,
     link_checks: Sender<()>,
     sessions: OnceLock<Sessions>,
+    /// Closed when what is still in flight is to end.
+    end_requests: (Sender<()>, Receiver<()>),
 }
 
 /// Receives what tasks ask of each other.
@@ -235,6 +238,7 @@
             heartbeat_requests,
             failed,
             link_checks,
+            end_requests: async_channel::bounded(1),
             sessions: OnceLock::new(),
         };
         let requests = Requests {
@@ -276,6 +280,23 @@
         in_flight
     }
 
+    /// Ends what is still in flight, and returns it: takes no more requests, and answers
+    /// those to whose clients nothing has been sent.
+    pub fn end_requests(&self) -> Vec<RequestInFlight> {
+        let mut state = self.state();
+        state.in_flight.close();
+        let in_flight = state.in_flight.iter().cloned().collect();
+        drop(state);
+        self.end_requests.0.close();
+        in_flight
+    }
+
+    /// Waits until what is still in flight is to end.
+    pub async fn requests_end(&self) {
+        // Nothing is ever sent on the channel; it is only closed.
+        let _closed = self.end_requests.1.recv().await;
+    }
+
     /// Requests a heartbeat soon, after a change that peers need to know.
     pub fn request_heartbeat(&self) {
         // A full channel means that one is about to be sent.
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -8,6 +8,7 @@
 use async_channel::Sender;
 use async_io::Timer;
 use briarhall_net::Sessions;
+use briarhall_policy::in_flight::RequestInFlight;
 
 use crate::attempt::elapsed_ms;
 use crate::state::Shared;
@@ -26,8 +27,10 @@
 const LAST_CONNECTIONS_TIME: Duration = Duration::from_millis(400);
 /// Time to send the last bytes of the last answer.
 const FLUSH_DELAY: Duration = Duration::from_millis(60);
+/// Longest time to send it, and the answers to what is still in flight at the end.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time before the process is killed at which it ends by itself.
-const KILL_MARGIN: Duration = Duration::from_millis(200);
+const KILL_MARGIN: Duration = Duration::from_millis(300);
 
 /// Shuts a gateway down. Dropping `end_sessions` closes idle connections.
 pub async fn stop(shared: &Arc<Shared>, sessions: &Sessions, end_sessions: Sender<()>) {
@@ -50,18 +53,28 @@
     sessions.stop_accepting();
     let stopped_at = Instant::now();
     let may_send = || stopped_at.elapsed() < LAST_CONNECTIONS_TIME && !sessions.have_ended();
-    while (may_send() || is_busy()) && Instant::now() < stop_deadline {
+    let have_ended =
+        || !may_send() && sessions.are_idle() && shared.state().in_flight.close_if_empty();
+    while !have_ended() && Instant::now() < stop_deadline {
         Timer::after(CHECK_INTERVAL).await;
     }
+    let cut = shared.end_requests();
+    flush(sessions).await;
+    log_stopped(&cut, start);
+}
+
+/// Waits until the last answers are written, for a moment at most.
+async fn flush(sessions: &Sessions) {
+    let ends = Instant::now() + FLUSH_TIMEOUT;
     Timer::after(FLUSH_DELAY).await;
-    log_cut(shared, start);
+    while !sessions.are_idle() && Instant::now() < ends {
+        Timer::after(CHECK_INTERVAL).await;
+    }
 }
 
-/// Logs the requests that end without an answer as the process does.
-fn log_cut(shared: &Shared, stop_began: Instant) {
-    let state = shared.state();
-    let in_flight = state.in_flight.len();
-    for request in state.in_flight.iter() {
+/// Logs the end of the process, and the requests that were in flight then.
+fn log_stopped(cut: &[RequestInFlight], stop_began: Instant) {
+    for request in cut {
         let (replica, sent_ms) = match &request.sent {
             Some((replica, at)) => (replica.as_str(), elapsed_ms(*at)),
             None => ("", 0),
@@ -76,6 +89,6 @@
             "the process ends before the request does"
         );
     }
-    drop(state);
+    let in_flight = cut.len();
     log::info!(event = "stopped", in_flight, stopping_ms = elapsed_ms(stop_began); "gateway stopped");
 }
--- a/crates/policy/src/in_flight.rs
+++ b/crates/policy/src/in_flight.rs
@@ -1,4 +1,7 @@
 //! Client requests that a gateway has read and not yet answered in full.
+//!
+//! A process that is about to end takes no request any more once it has found that none is
+//! in flight: one that came between that decision and the end would be cut.
 
 use std::time::Instant;
 
@@ -27,16 +30,38 @@
 #[derive(Debug, Default)]
 pub struct InFlightRequests {
     requests: SlotMap<InFlightKey, RequestInFlight>,
+    closed: bool,
 }
 
 impl InFlightRequests {
-    /// Adds a request whose head arrived at `arrived`.
-    pub fn add(&mut self, id: CompactString, arrived: Instant) -> InFlightKey {
-        self.requests.insert(RequestInFlight {
+    /// Adds a request whose head arrived at `arrived`, unless no more are taken.
+    pub fn add(&mut self, id: CompactString, arrived: Instant) -> Option<InFlightKey> {
+        if self.closed {
+            return None;
+        }
+        Some(self.requests.insert(RequestInFlight {
             id,
             arrived,
             sent: None,
-        })
+        }))
+    }
+
+    /// Takes no more requests if none is in flight, and returns whether that is so.
+    pub fn close_if_empty(&mut self) -> bool {
+        self.closed |= self.is_empty();
+        self.closed
+    }
+
+    /// Takes no more requests.
+    pub fn close(&mut self) {
+        self.closed = true;
+    }
+
+    /// Returns whether a request was sent to a replica, so that it may have run.
+    #[must_use]
+    pub fn was_sent(&self, key: InFlightKey) -> bool {
+        let request = self.requests.get(key);
+        request.is_some_and(|request| request.sent.is_some())
     }
 
     /// Records that a request is sent to a replica.
