Judge a late request by when all of it had arrived

What callers saw: a POST whose head came before SIGTERM and whose body ended 7.0 s after it was taken for one whose client could not know of the stop, ran, and was cut as the process ended.

Cause: the time of the head stood for that of the request; it can be passed on only after its body.

--- a/crates/gateway/src/client_request.rs
+++ b/crates/gateway/src/client_request.rs
@@ -232,6 +232,7 @@
             route,
             organisation,
             arrived,
+            read_at: Instant::now(),
             deadline,
             max_attempts: detour.map_or(allowed, |max| max.clamp(1, allowed)),
             is_detoured: detour.is_some(),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -79,6 +79,8 @@
     pub organisation: Option<Arc<Organisation>>,
     /// When its head arrived.
     pub arrived: Instant,
+    /// When all of it had arrived.
+    pub read_at: Instant,
     /// When the client's time limit or the route's ends, whichever is first.
     pub deadline: Instant,
     /// Most replicas that may run it on behalf of this gateway.
--- a/crates/gateway/src/refusals.rs
+++ b/crates/gateway/src/refusals.rs
@@ -215,7 +215,7 @@
         let now = Instant::now();
         let state = self.shared.state();
         let stop = state.stop?;
-        let client = if job.arrived < stop.unaware_until {
+        let client = if job.read_at < stop.unaware_until {
             Client::Unaware
         } else {
             Client::Late
