Stop: requests without an answer get one before the process ends

What callers saw: requests that a stopping gateway had read, and had passed on, ended with a closed connection when the process did, calls that must not run twice among them. One is no borderline case: the body of a POST that ended 7.0 s after SIGTERM was taken, as its head had come before the signal and a call usually takes 300 ms; it ran and was cut as the process ended.

Cause: that a request ends with the process depended on the admission alone, which predicts how long an answer takes. What it cannot know (a replica that answers nothing, a slow body, another gateway that is asked for a detour) ended without an answer: at its deadline the stop ended the process whatever waited.

Fix: 0.1 s before the process ends, each request without the head of an answer gets one of ours: 502 if it was ever sent, 503 if it never was, so that the promise of 503 holds. Streams that have begun can only be cut, as before.

Open: the slow body still runs and gets 502. The admission should compare the end of the body, not the head, with the end of the time in which clients may not know of the stop.

--- a/crates/gateway/src/client_request.rs
+++ b/crates/gateway/src/client_request.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::OnceLock;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use briarhall_net::Body;
@@ -17,6 +18,7 @@
 use briarhall_types::Route;
 use briarhall_types::RouteKind;
 use compact_str::CompactString;
+use futures_lite::future;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -33,6 +35,7 @@
 use crate::guards::InFlight;
 use crate::job::Job;
 use crate::job::deadline;
+use crate::request_error::DEFAULT_RETRY_AFTER;
 use crate::request_error::RequestError;
 use crate::state::Shared;
 use crate::stream;
@@ -143,8 +146,16 @@
         match self.dispatcher.wire.request_head(&parts) {
             Ok(head) => {
                 let id = head.id.clone();
-                let pending = PendingResponse::new(&self.dispatcher.shared, &id, arrived);
-                let served = self.serve(arrived, parts, head, body, detour).await;
+                let shared = &self.dispatcher.shared;
+                let pending = PendingResponse::new(shared, &id, arrived);
+                let in_flight = InFlight::new(shared, id.clone(), arrived);
+                let was_sent = in_flight.was_sent();
+                let served = self.serve(arrived, parts, head, body, detour, in_flight);
+                let stopped = async {
+                    shared.stop_end.reached().await;
+                    Err(self.error_of_stop(&id, was_sent.load(Ordering::Relaxed)))
+                };
+                let served = future::or(served, stopped).await;
                 pending.finish();
                 served.inspect_err(|e| self.record_refusal(&id, e, arrived))
             }
@@ -163,8 +174,8 @@
         head: RequestHead,
         body: Incoming,
         detour: Option<u32>,
+        in_flight: InFlight,
     ) -> Result<Response<Body>, RequestError> {
-        let in_flight = InFlight::new(&self.dispatcher.shared, head.id.clone(), arrived);
         self.dispatcher.pause_guard.confirmed().await;
         let Admitted {
             table,
@@ -212,6 +223,24 @@
         }
     }
 
+    /// Returns the error for a request that has no answer when this process is about to end.
+    fn error_of_stop(&self, id: &str, was_sent: bool) -> RequestError {
+        self.dispatcher.shared.metrics.count("ended_by_stop");
+        log::warn!(
+            event = "ended_by_stop",
+            request = id,
+            was_sent;
+            "the process ends before the request is answered"
+        );
+        if was_sent {
+            return RequestError::AnswerLost;
+        }
+        let retry_after = self.dispatcher.return_after_stop();
+        RequestError::NotRun {
+            retry_after: retry_after.unwrap_or(DEFAULT_RETRY_AFTER),
+        }
+    }
+
     fn record_refusal(&self, id: &str, e: &RequestError, arrived: Instant) {
         let shared = &self.dispatcher.shared;
         let version = shared
--- a/crates/gateway/src/guards.rs
+++ b/crates/gateway/src/guards.rs
@@ -1,6 +1,8 @@
 //! Entries of the control state that last as long as what they stand for.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use briarhall_policy::in_flight::InFlightKey;
@@ -83,6 +85,7 @@
 pub struct InFlight {
     shared: Arc<Shared>,
     key: InFlightKey,
+    was_sent: Arc<AtomicBool>,
 }
 
 impl InFlight {
@@ -92,11 +95,18 @@
         Self {
             shared: Arc::clone(shared),
             key,
+            was_sent: Arc::default(),
         }
     }
 
+    /// Returns a flag that is set once the request is sent to a replica.
+    pub fn was_sent(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.was_sent)
+    }
+
     /// Records that the request is sent to a replica.
     pub fn sent(&self, replica: &ReplicaId) {
+        self.was_sent.store(true, Ordering::Relaxed);
         let mut state = self.shared.state();
         state.in_flight.sent(self.key, replica, Instant::now());
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod start;
 mod state;
 mod stop;
+mod stop_end;
 mod store_check;
 mod store_gate;
 mod stream;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -53,6 +53,7 @@
 use crate::session_limits::session_limits;
 use crate::settings::Settings;
 use crate::shortage::Shortage;
+use crate::stop_end::StopEnd;
 
 /// Number of gateways that are assumed to share a retry budget even when fewer
 /// are known: a gateway that is cut off must not spend the others' share.
@@ -165,6 +166,8 @@
     failed: Sender<FailedSend>,
     link_checks: Sender<()>,
     sessions: OnceLock<Sessions>,
+    /// When requests without an answer get one in a stop.
+    pub stop_end: StopEnd,
 }
 
 /// Receives what tasks ask of each other.
@@ -234,6 +237,7 @@
             failed,
             link_checks,
             sessions: OnceLock::new(),
+            stop_end: StopEnd::new(),
         };
         let requests = Requests {
             heartbeats,
@@ -270,6 +274,7 @@
         state.stop = Some(limits);
         let in_flight = state.in_flight.len();
         drop(state);
+        self.stop_end.set(limits.deadline);
         self.request_heartbeat();
         in_flight
     }
