Stop: wait for answers that are still sent to other gateways

What callers saw: a call came to a gateway that was cut off from all replicas, and went by detour over another one. That one was told to stop while its answer was on the way; it ended before all was sent, and the caller got 502 though the call had run.

Cause: a stop waits for requests in flight and for busy connections of clients. A whole answer is no longer in flight once it is handed to its connection, and connections of the relay port were not counted.

Fix: the relay port is served by sessions that share the count of busy connections with those of clients, as in `slow_readers` for these. They are never shut down, and the stop waits to its deadline at most.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_channel::Receiver;
 use async_net::TcpListener;
@@ -16,6 +17,7 @@
 use briarhall_net::Logging;
 use briarhall_net::MetricsService;
 use briarhall_net::ServerOptions;
+use briarhall_net::SessionLimits;
 use briarhall_net::Sessions;
 use briarhall_net::bind;
 use briarhall_net::serve;
@@ -49,6 +51,13 @@
 use crate::store_gate::StoreGates;
 use crate::wire::Wire;
 
+/// Limits on connections of other gateways, which may wait as long as their clients.
+const RELAY_LIMITS: SessionLimits = SessionLimits {
+    max_header_bytes: 64 * 1024,
+    header_timeout: Duration::from_secs(10),
+    idle_timeout: Duration::from_mins(1),
+};
+
 /// Keeps a task running for the life of the process, with clones of its arguments.
 macro_rules! keep_running {
     ($executor:ident, $task:literal, $($run:ident)::+ ($($arg:ident),+)) => {{
@@ -132,7 +141,6 @@
         shared: Arc::clone(&shared),
         requests: client_requests.clone(),
     };
-    serve_on(&executor, "relay", settings.relay_address, relay)?;
     let directory = Directory {
         wire,
         shared: Arc::clone(&shared),
@@ -154,6 +162,10 @@
         end,
     );
     shared.limit_sessions(sessions.clone());
+    // A stop waits for the answers to other gateways as well.
+    let relay_sessions = sessions.of_other_listener(RELAY_LIMITS);
+    let listener = listen("relay", settings.relay_address)?;
+    executor.detach(relay_sessions.serve(listener, relay));
     let listener = listen("front", settings.client_address)?;
     executor.detach(sessions.clone().serve(listener, client_requests));
     stop_signal(&mut signals).await?;
--- a/crates/net/src/sessions.rs
+++ b/crates/net/src/sessions.rs
@@ -189,6 +189,21 @@
         }
     }
 
+    /// Creates sessions of another listener, which run as long as the process. Their clients
+    /// too are waited for by [`Self::are_idle`].
+    #[must_use]
+    pub fn of_other_listener(&self, limits: SessionLimits) -> Self {
+        let accepting = async_channel::bounded(1);
+        Self {
+            limits: Arc::new(Mutex::new(limits)),
+            executor: self.executor.clone(),
+            shutdown: accepting.1.clone(),
+            accepting,
+            open: Arc::default(),
+            busy: Arc::clone(&self.busy),
+        }
+    }
+
     /// Changes the limits, for open connections too.
     pub fn set_limits(&self, limits: SessionLimits) {
         *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = limits;
