Count a planned stop from when its signal can have been sent

What callers saw: where SIGTERM is noticed late, a stopping gateway was killed while requests that it had taken late still ran.

Cause: all limits of a stop counted from when the process noticed the signal; the platform counts from when it sends it. Class of fault: a time measured by the one who is late.

A signal that is noticed now cannot have been sent before the last look but one, and all limits count from that. A request that every replica has turned away counts as not run again, so that it gets 503 and not 502.

--- a/crates/gateway/src/guards.rs
+++ b/crates/gateway/src/guards.rs
@@ -95,6 +95,11 @@
         })
     }
 
+    /// Records that no replica has run the request.
+    pub fn not_run(&self) {
+        self.shared.state().in_flight.not_run(self.key);
+    }
+
     /// Returns whether the request was sent to a replica, so that it may have run.
     pub fn was_sent(&self) -> bool {
         self.shared.state().in_flight.was_sent(self.key)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod session_limits;
 mod settings;
 mod shortage;
+mod signal_clock;
 pub mod sse;
 mod start;
 mod state;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -121,6 +121,9 @@
         attempts: &Attempts,
         generated: u64,
     ) -> Result<Placement<W>, RequestError> {
+        if attempts.may_have_run == 0 {
+            job.in_flight.not_run();
+        }
         self.pause_guard.confirmed().await;
         let mut limit_wait_ends = None;
         let refused = self.crashes_replicas(job);
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -45,6 +45,7 @@
 use crate::replica_watch::FollowedReplicas;
 use crate::session_limits::session_limits;
 use crate::settings::Settings;
+use crate::signal_clock::SignalClock;
 use crate::state::Shared;
 use crate::stop::stop;
 use crate::store_check::StoreCheck;
@@ -101,6 +102,7 @@
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(StartError::Signals)?;
     log::info!(event = "start", vm = settings.vm.as_str(), version = env!("CARGO_PKG_VERSION"); "gateway starting");
+    let signal_time = SignalClock::start(&executor);
     let (shared, requests) = Shared::new(settings);
     let settings = &shared.settings;
     let socket = UdpSocket::bind(settings.gossip_address).await;
@@ -169,7 +171,8 @@
     let listener = listen("front", settings.client_address)?;
     executor.detach(sessions.clone().serve(listener, client_requests));
     stop_signal(&mut signals).await?;
-    stop(&shared, &sessions, end_sessions).await;
+    let sent_at = signal_time.earliest();
+    stop(&shared, &sessions, end_sessions, sent_at).await;
     Ok(())
 }
 
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -19,31 +19,39 @@
 /// Margin for the other gateways to learn of the stop, and for inaccurate
 /// clocks of clients.
 const PROPAGATION_MARGIN: Duration = Duration::from_millis(300);
-/// Time in which a process notices the signal, on a VM with little processor time.
-const SIGNAL_MARGIN: Duration = Duration::from_millis(250);
+/// Margin for the clocks of clients, and for answers that take until their deadline.
+const LATE_MARGIN: Duration = Duration::from_millis(100);
 /// Time between two checks for requests in flight.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for which connections that were accepted last may send a request.
 const LAST_CONNECTIONS_TIME: Duration = Duration::from_millis(400);
 /// Time to send the last bytes of the last answer.
 const FLUSH_DELAY: Duration = Duration::from_millis(60);
-/// Longest time to send it, and the answers to what is still in flight at the end.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time before the process is killed at which it ends what is still in flight. On a VM with
-/// a tenth of a core the signal, each timer and the last writes wait for up to 90 ms each.
-const KILL_MARGIN: Duration = Duration::from_millis(500);
+/// Time before the process is killed at which it answers what is still in flight: a VM with
+/// a tenth of a core writes some hundred answers in it.
+const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+/// Time before the process is killed at which it ends by itself. On such a VM each timer is
+/// up to 90 ms late.
+const KILL_MARGIN: Duration = Duration::from_millis(200);
 
-/// Shuts a gateway down. Dropping `end_sessions` closes idle connections.
-pub async fn stop(shared: &Arc<Shared>, sessions: &Sessions, end_sessions: Sender<()>) {
-    let start = Instant::now();
-    let stop_deadline = start + shared.settings.grace.saturating_sub(KILL_MARGIN);
+/// Shuts a gateway down that was sent a signal at `start` or later. Dropping `end_sessions`
+/// closes idle connections.
+pub async fn stop(
+    shared: &Arc<Shared>,
+    sessions: &Sessions,
+    end_sessions: Sender<()>,
+    start: Instant,
+) {
+    let grace = shared.settings.grace;
+    let stop_deadline = start + grace.saturating_sub(ANSWER_MARGIN);
     let cached_for = shared.settings.address_ttl * MAX_CACHE_TTL_FACTOR;
     let in_flight = shared.begin_stop(StopLimits {
-        unaware_until: start + cached_for.saturating_sub(SIGNAL_MARGIN),
-        late_answers_until: stop_deadline.checked_sub(SIGNAL_MARGIN).unwrap_or(start),
+        unaware_until: start + cached_for.saturating_sub(LATE_MARGIN),
+        late_answers_until: stop_deadline.checked_sub(LATE_MARGIN).unwrap_or(start),
         deadline: stop_deadline,
     });
-    log::info!(event = "stopping", in_flight; "gateway stopping");
+    let noticed_ms = elapsed_ms(start);
+    log::info!(event = "stopping", in_flight, noticed_ms; "gateway stopping");
     let client_move_time = cached_for + PROPAGATION_MARGIN;
     Timer::at((start + client_move_time).min(stop_deadline)).await;
     drop(end_sessions);
@@ -60,13 +68,13 @@
         Timer::after(CHECK_INTERVAL).await;
     }
     let cut = shared.end_requests();
-    flush(sessions).await;
+    flush(sessions, start + grace.saturating_sub(KILL_MARGIN)).await;
     log_stopped(&cut, start);
 }
 
-/// Waits until the last answers are written, for a moment at most.
-async fn flush(sessions: &Sessions) {
-    let ends = Instant::now() + FLUSH_TIMEOUT;
+/// Waits until the last answers are written, and their clients have read them, until `ends`
+/// at most.
+async fn flush(sessions: &Sessions, ends: Instant) {
     Timer::after(FLUSH_DELAY).await;
     while !sessions.are_idle() && Instant::now() < ends {
         Timer::after(CHECK_INTERVAL).await;
--- a/crates/policy/src/in_flight.rs
+++ b/crates/policy/src/in_flight.rs
@@ -71,6 +71,13 @@
         }
     }
 
+    /// Records that no replica has run a request, although it was sent.
+    pub fn not_run(&mut self, key: InFlightKey) {
+        if let Some(request) = self.requests.get_mut(key) {
+            request.sent = None;
+        }
+    }
+
     /// Removes a request that is answered in full, or whose client has left.
     pub fn remove(&mut self, key: InFlightKey) {
         self.requests.remove(key);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod routes;
 pub mod share_allocator;
 pub mod shares_in_shortage;
+pub mod signal_time;
 pub mod size_classes;
 pub mod store_checks;
 pub mod store_readers;
--- a/crates/policy/tests/in_flight.rs
+++ b/crates/policy/tests/in_flight.rs
@@ -13,6 +13,8 @@
     Add,
     /// One of those in flight is sent to a replica.
     Send(u8),
+    /// One of those in flight was turned away by its replica.
+    Refuse(u8),
     /// One of those in flight is answered.
     End(u8),
     /// The process asks whether it may end.
@@ -43,6 +45,12 @@
                     requests.sent(*key, &ReplicaId::from("i-1"), now);
                     *sent = true;
                 }
+                Op::Refuse(n) if !open.is_empty() => {
+                    let n = usize::from(n) % open.len();
+                    let (key, sent) = &mut open[n];
+                    requests.not_run(*key);
+                    *sent = false;
+                }
                 Op::End(n) if !open.is_empty() => {
                     let (key, _) = open.swap_remove(usize::from(n) % open.len());
                     requests.remove(key);
@@ -55,7 +63,7 @@
                     requests.close();
                     closed = true;
                 }
-                Op::Send(_) | Op::End(_) => {}
+                Op::Send(_) | Op::Refuse(_) | Op::End(_) => {}
             }
             assert_eq!(requests.len(), open.len());
             for (key, sent) in &open {
