Gateway: refuse a head that two answers share

What callers saw: a 200 with the first stamp of a replica and the body of another answer, or a 200 for a 500, when a replica stopped within a line of its answer's head and another answer followed on the connection. The status line of the second ends a line of the first, so that all of it is one valid head.

Cause: neither hyper nor the gateway looks at what headers that it does not use hold.

Evidence: cut_heads::a_cut_head_that_another_answer_completes_is_an_error failed before (34 of 48 requests; /get/, /post/, /stream/, /once-stream/, HTTP/1.0 and 1.1), and passes. Ruled out, by the other cases of the file, which held at once: an answer that is closed at any byte, reset or silent, in each framing of calls and streams, also by way of another gateway and where it goes on with a stream. hyper takes no head without its empty line, nor chunks or a length that are not complete.

Why it works: whatever the cut, the second status line stands in a value or in the reason phrase; in a name, behind a whole line or in a status code the head is not valid. A replica that puts status lines in headers of sound answers is not served: which answer the body belongs to cannot be told.

In `send`, the record of a refusal moved to a function of its own, unchanged.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,12 +10,14 @@
 use briarhall_net::FailurePoint;
 use briarhall_net::HttpClient;
 use briarhall_net::HttpError;
+use briarhall_net::is_merged_head;
 use briarhall_policy::departures::ReplicaProcess;
 use briarhall_policy::engine;
 use briarhall_policy::health::SendOutcome;
 use briarhall_types::ReplicaId;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::http::response;
 
 use crate::job::Job;
 use crate::outcomes::Written;
@@ -173,6 +175,12 @@
         attempts.reached += 1;
         record_answered(&self.shared, opened_at);
         let (parts, body) = exchange.reply.into_parts();
+        if let Some(why) = not_an_answer(&parts) {
+            record_outcome(&self.shared, id, SendOutcome::Broken);
+            attempts.may_have_run += 1;
+            log_failed_send(job, id, why, u128::from(parts.status.as_u16()));
+            return SendResult::MayHaveRun;
+        }
         let head = self.wire.reply_head(&parts);
         let process = ReplicaProcess {
             id: id.clone(),
@@ -208,25 +216,7 @@
             return SendResult::MayHaveRun;
         }
         if is_refusal {
-            let failed = head.failed_replica.as_ref();
-            let failed = failed.and_then(|failed| self.replica_id(failed));
-            let at_fault = match failed {
-                Some(other) if other != *id => {
-                    record_outcome(&self.shared, &other, SendOutcome::Unreachable);
-                    self.shared.state().record_crash(&other, "unreachable");
-                    other
-                }
-                _ => {
-                    record_outcome(&self.shared, id, SendOutcome::Refused);
-                    if let Some(watch) = &placement.pace_watch {
-                        watch.refused(&self.shared, status);
-                    }
-                    id.clone()
-                }
-            };
-            attempts.refused += 1;
-            log_failed_send(job, &at_fault, "refused", u128::from(status.as_u16()));
-            return SendResult::NotRun;
+            return self.record_refusal(job, placement, status, &head, attempts);
         }
         attempts.may_have_run += 1;
         if status.is_success() && (!head.signed || head.content_encoded) {
@@ -237,6 +227,38 @@
         SendResult::Answer(Box::new(exchange), head)
     }
 
+    /// Records that the replica refused the request, as itself or as another one that it
+    /// names has failed.
+    fn record_refusal(
+        &self,
+        job: &Job,
+        placement: &Placement<W>,
+        status: StatusCode,
+        head: &ReplyHead,
+        attempts: &mut Attempts,
+    ) -> SendResult {
+        let id = &placement.replica.id;
+        let failed = head.failed_replica.as_ref();
+        let failed = failed.and_then(|failed| self.replica_id(failed));
+        let at_fault = match failed {
+            Some(other) if other != *id => {
+                record_outcome(&self.shared, &other, SendOutcome::Unreachable);
+                self.shared.state().record_crash(&other, "unreachable");
+                other
+            }
+            _ => {
+                record_outcome(&self.shared, id, SendOutcome::Refused);
+                if let Some(watch) = &placement.pace_watch {
+                    watch.refused(&self.shared, status);
+                }
+                id.clone()
+            }
+        };
+        attempts.refused += 1;
+        log_failed_send(job, &at_fault, "refused", u128::from(status.as_u16()));
+        SendResult::NotRun
+    }
+
     /// Returns the id of a replica that another one names, unless its address is
     /// no longer in the registry.
     fn replica_id(&self, failed: &FailedReplica) -> Option<ReplicaId> {
@@ -316,6 +338,11 @@
     }
 }
 
+/// Returns why a head is not that of one answer, if it is not.
+fn not_an_answer(parts: &response::Parts) -> Option<&'static str> {
+    is_merged_head(parts).then_some("merged_head")
+}
+
 /// Records a request that was not sent, since one of its headers could not be.
 pub fn record_unsendable(
     job: &Job,
