Gateway: take a switch of protocols for no answer

What callers saw: 101 with the replica's stamp, after which the gateway no longer spoke HTTP on their connection, though no client may ask for that: `Upgrade` is not forwarded.

Cause: hyper skips all interim heads but this one, and the gateway passed it on.

Evidence: cut_heads::an_answer_that_switches_protocols_is_an_error failed before (12 of 12 requests), and passes.

Why it works: the send counts as one that may have run and whose answer is lost, as with other bytes that are no answer.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -340,7 +340,14 @@
 
 /// Returns why a head is not that of one answer, if it is not.
 fn not_an_answer(parts: &response::Parts) -> Option<&'static str> {
-    is_merged_head(parts).then_some("merged_head")
+    if is_merged_head(parts) {
+        Some("merged_head")
+    } else if parts.status.is_informational() {
+        // Passed on, it would end HTTP on the client's connection too.
+        Some("protocol_switched")
+    } else {
+        None
+    }
 }
 
 /// Records a request that was not sent, since one of its headers could not be.
