Gateway: a stream to HTTP/1.0 ends by a reset until it is whole

What callers saw: a stream that looked whole to a client of HTTP/1.0 when the gateway's process ended in the middle of it. The same holds by reading the code, without a test of its own, for a client whose connection times out with a part of a stream unsent.

Cause: the end of the connection marks the end of such a stream, and only a stream that its replica broke off was ended by a reset. The system closes the connections of a process that ends in order.

Evidence: http_1_0::a_stream_ends_by_a_reset_when_its_gateway_is_killed failed before, and passes; those of broken_answers over HTTP/1.0, whole and broken, still pass.

Why it works: the socket is set to end by a reset when the stream begins, and is set back once all of it was written and the connection shut down in order.

--- a/crates/net/src/sessions.rs
+++ b/crates/net/src/sessions.rs
@@ -266,14 +266,15 @@
         let _result = stream.set_nodelay(true);
         let accepted = Instant::now();
         let state = Arc::new(ConnectionState::new(&self.busy));
-        let socket = stream.clone();
+        let socket = &stream.clone();
         let is_http_1_0 = AtomicBool::new(false);
         let io = ObservedStream {
             stream,
             state: Arc::clone(&state),
         };
         let service = service_fn(|req: Request<Incoming>| {
-            is_http_1_0.store(req.version() == Version::HTTP_10, Ordering::Relaxed);
+            let is_1_0 = req.version() == Version::HTTP_10;
+            is_http_1_0.store(is_1_0, Ordering::Relaxed);
             let handler = handler.clone();
             let state = Arc::clone(&state);
             async move {
@@ -282,6 +283,9 @@
                 let reply = handler.handle(req, peer).await;
                 if reply.body().is_in_memory() {
                     guard.deliver(false);
+                } else if is_1_0 {
+                    // Also if this process ends before the answer does.
+                    set_reset_on_close(socket, true, peer);
                 }
                 Ok::<_, io::Error>(reply.map(|body| GuardedBody {
                     body,
@@ -316,11 +320,14 @@
             Ended::Served(ended) => ended,
             Ended::TimedOut => return,
         };
-        if let Err(e) = ended {
-            if e.is_user() && is_http_1_0.load(Ordering::Relaxed) {
-                reset_on_close(&socket, peer);
+        match ended {
+            Ok(()) if is_http_1_0.load(Ordering::Relaxed) => {
+                set_reset_on_close(socket, false, peer);
+            }
+            Ok(()) => {}
+            Err(e) => {
+                log::debug!(peer = peer.to_string().as_str(), error = e.to_string().as_str(); "connection ended");
             }
-            log::debug!(peer = peer.to_string().as_str(), error = e.to_string().as_str(); "connection ended");
         }
     }
 
@@ -373,11 +380,12 @@
     Shutdown,
 }
 
-/// Makes the connection end by a reset. To a client of HTTP/1.0, one that is closed
-/// in order marks the end of an answer, also of one that was cut short.
-fn reset_on_close(socket: &TcpStream, peer: SocketAddr) {
-    if let Err(e) = SockRef::from(socket).set_linger(Some(Duration::ZERO)) {
-        log::warn!(peer = peer.to_string().as_str(), error = e.to_string().as_str(); "cannot reset a connection whose answer was cut short");
+/// Sets whether the connection ends by a reset when it is closed. To a client of HTTP/1.0,
+/// one that is closed in order marks the end of an answer, also of one that was cut short.
+fn set_reset_on_close(socket: &TcpStream, reset: bool, peer: SocketAddr) {
+    let linger = reset.then_some(Duration::ZERO);
+    if let Err(e) = SockRef::from(socket).set_linger(linger) {
+        log::warn!(peer = peer.to_string().as_str(), error = e.to_string().as_str(); "cannot set how a connection of HTTP/1.0 ends");
     }
 }
 
