--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::time::Duration;
 use std::time::Instant;
 
 use async_channel::Receiver;
@@ -14,7 +15,6 @@
 use briarhall_net::ByteBudget;
 use briarhall_net::Metrics;
 use briarhall_net::Sessions;
-use briarhall_policy::answer_times::AnswerTime;
 use briarhall_policy::answer_times::AnswerTimes;
 use briarhall_policy::cold_replicas::ColdReplicas;
 use briarhall_policy::crashes::Crashes;
@@ -24,6 +24,7 @@
 use briarhall_policy::health::Health;
 use briarhall_policy::health::SendOutcome;
 use briarhall_policy::in_flight::InFlightRequests;
+use briarhall_policy::in_flight::RequestInFlight;
 use briarhall_policy::load_tracker::LoadTracker;
 use briarhall_policy::load_tracker::tag;
 use briarhall_policy::pace::Pace;
@@ -86,7 +87,9 @@
 pub struct StopLimits {
     /// Until when clients may come that asked a directory before the stop.
     pub unaware_until: Instant,
-    /// When the process ends at the latest.
+    /// When answers to clients that come later have to end.
+    pub late_answers_until: Instant,
+    /// When the process answers what is still in flight, and ends.
     pub deadline: Instant,
 }
 
@@ -165,6 +168,8 @@
     failed: Sender<FailedSend>,
     link_checks: Sender<()>,
     sessions: OnceLock<Sessions>,
+    /// Closed when what is still in flight is to end.
+    end_requests: (Sender<()>, Receiver<()>),
 }
 
 /// Receives what tasks ask of each other.
@@ -233,6 +238,7 @@
             heartbeat_requests,
             failed,
             link_checks,
+            end_requests: async_channel::bounded(1),
             sessions: OnceLock::new(),
         };
         let requests = Requests {
@@ -274,6 +280,23 @@
         in_flight
     }
 
+    /// Ends what is still in flight, and returns it: takes no more requests, and answers
+    /// those to whose clients nothing has been sent.
+    pub fn end_requests(&self) -> Vec<RequestInFlight> {
+        let mut state = self.state();
+        state.in_flight.close();
+        let in_flight = state.in_flight.iter().cloned().collect();
+        drop(state);
+        self.end_requests.0.close();
+        in_flight
+    }
+
+    /// Waits until what is still in flight is to end.
+    pub async fn requests_end(&self) {
+        // Nothing is ever sent on the channel; it is only closed.
+        let _closed = self.end_requests.1.recv().await;
+    }
+
     /// Requests a heartbeat soon, after a change that peers need to know.
     pub fn request_heartbeat(&self) {
         // A full channel means that one is about to be sent.
@@ -309,7 +332,7 @@
     }
 
     /// Records how long a complete answer took.
-    pub fn record_answer_time(&self, route: &RouteName, time: AnswerTime) {
+    pub fn record_answer_time(&self, route: &RouteName, time: Duration) {
         let mut state = self.state();
         state.answer_times.record(route, time, Instant::now());
     }
