Router stop: close admission in the step that finds no request in flight

Callers saw calls cut without a whole answer when a router ended after SIGTERM, although the endpoint had run them.

Cause: the stop asked for the number of requests in flight and, at zero, waited 200 ms for the last answers to be written. The answer bound nothing: the traffic threads went on admitting requests in that time, and the end of the process cut them.

Evidence: the new test stops three routers, each under calls of some 300 ms with pauses of 100 ms.

The control thread now closes admission in the same message in which it finds no request in flight, and it alone admits, so no request can come between. Later requests are refused with 503 `stopping`, as not run, with `Retry-After: 1`.

The test's callers get `Connection: close` while the router drains, so its calls near the end are on new connections; a connection kept idle until then is not covered. The stop still has no limit of its own.

--- a/crates/lab/tests/tests/draining.rs
+++ b/crates/lab/tests/tests/draining.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use async_executor::Task;
 use briarhall_lab::caller::CallOutcome;
+use briarhall_lab::caller::complete;
 use briarhall_lab::load::LoadSpec;
 use briarhall_lab::load::arrivals;
 use briarhall_lab::site::CustomerSpec;
@@ -16,6 +18,11 @@
 
 /// Time after which a draining endpoint gets no new requests.
 const DRAIN_NOTICE_MS: u64 = 3_000;
+/// Pause between two calls of a caller: less than a router waits before its
+/// process ends.
+const CALL_PAUSE_MS: u64 = 100;
+/// Tokens of a call that takes longer than a router waits before its process ends.
+const LONG_CALL_TOKENS: u64 = 300;
 
 fn spec() -> SiteSpec {
     SiteSpec {
@@ -126,6 +133,57 @@
     }
 );
 
+/// Calls one router until it takes no more connections or refuses a call as not
+/// run. Returns the outcomes and how long the shortest answer took.
+fn call_until_stopped(fixture: &Fixture, router: usize) -> Task<(Vec<CallOutcome>, Duration)> {
+    let (caller, address) = (fixture.caller.clone(), fixture.router(router));
+    fixture.lab.executor.spawn(async move {
+        let mut outcomes = Vec::new();
+        let mut shortest = Duration::MAX;
+        loop {
+            let number = (router * 1_000 + outcomes.len()) as u64;
+            let request = completion(number, 100, LONG_CALL_TOKENS);
+            let answer = complete(&caller, address, &request).await;
+            let answered = answer.outcome == CallOutcome::Answered;
+            outcomes.push(answer.outcome);
+            if !answered {
+                return (outcomes, shortest);
+            }
+            shortest = shortest.min(answer.total);
+            sleep_ms(CALL_PAUSE_MS).await;
+        }
+    })
+}
+
+site_test!(
+    /// Guards against calls that a router admits after it found none in flight and
+    /// cuts off when its process ends.
+    calls_around_a_routers_end_are_not_cut,
+    SiteSpec {
+        address_ttl: Duration::from_millis(200),
+        ..spec()
+    },
+    CustomerSpec::tidewire(),
+    async |fixture: &mut Fixture| {
+        let callers = [0, 1, 2].map(|router| call_until_stopped(fixture, router));
+        sleep_ms(500).await;
+        for router in fixture.site.routers.values() {
+            router.process.terminate();
+        }
+        let mut answered = 0;
+        let mut last = Vec::new();
+        for caller in callers {
+            let (outcomes, shortest) = caller.await;
+            assert!(shortest > Duration::from_millis(200), "{shortest:?}");
+            answered += outcomes.len() as u64 - 1;
+            last.extend(outcomes.last().cloned());
+        }
+        let ledgers = fixture.site.ledgers().await.expect("the engines answer");
+        let started = ledgers.iter().map(|ledger| ledger.started).sum::<u64>();
+        assert_eq!(started, answered, "calls that ran and calls with an answer; the last: {last:?}");
+    }
+);
+
 site_test!(
     stewards_are_restarted_in_turn,
     SiteSpec {
--- a/crates/router/src/control/admit.rs
+++ b/crates/router/src/control/admit.rs
@@ -25,6 +25,8 @@
 
 /// `Retry-After` sent while this router may not admit requests.
 const NOT_CURRENT_RETRY: Duration = Duration::from_secs(1);
+/// `Retry-After` sent while this router is about to end.
+const STOPPING_RETRY: Duration = Duration::from_secs(1);
 
 /// A contract's terms for one call.
 #[derive(Debug, Clone, Copy)]
@@ -36,6 +38,7 @@
 
 impl Control {
     pub(super) fn admit(&mut self, call: &AdmitCall, now: Instant) -> Result<Admitted, Problem> {
+        self.check_open()?;
         self.check_sync_state(now)?;
         let contract = self.config_store.by_key(&call.key).ok_or_else(bad_key)?;
         let terms = terms(&contract, call)?;
@@ -73,6 +76,23 @@
         }
     }
 
+    /// Admits no more requests if none is in flight, and returns whether that is
+    /// so. A request admitted between a check and a later close would be cut off
+    /// when the process ends.
+    pub(super) fn close_if_idle(&mut self) -> bool {
+        self.closed |= self.requests.is_empty();
+        self.closed
+    }
+
+    fn check_open(&self) -> Result<(), Problem> {
+        if !self.closed {
+            return Ok(());
+        }
+        self.metrics.count("refused.stopping");
+        let detail = "this router is stopping; send the request to another router";
+        Err(Problem::not_run(503, "stopping", detail).retry_after(STOPPING_RETRY))
+    }
+
     fn check_sync_state(&self, now: Instant) -> Result<(), Problem> {
         let detail = match self.sync_state(now) {
             SyncState::Current => return Ok(()),
--- a/crates/router/src/control/dispatch.rs
+++ b/crates/router/src/control/dispatch.rs
@@ -90,7 +90,7 @@
                 self.draining = true;
                 self.heartbeat(now);
             }
-            Msg::InFlight(reply) => reply.send(self.requests.len()),
+            Msg::CloseIfIdle(reply) => reply.send(self.close_if_idle()),
             Msg::Tick => self.tick(now),
         }
     }
--- a/crates/router/src/control/messages.rs
+++ b/crates/router/src/control/messages.rs
@@ -346,8 +346,8 @@
     Status(Reply<Status>),
     /// Stop admitting new callers.
     Drain,
-    /// Requests in flight.
-    InFlight(Reply<usize>),
+    /// Admit no more requests if none is in flight; answers whether that is so.
+    CloseIfIdle(Reply<bool>),
     /// Do periodic work.
     Tick,
 }
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -102,6 +102,8 @@
     members: Members,
     heartbeat_counter: u64,
     draining: bool,
+    /// Whether no more requests are admitted, because the process is about to end.
+    closed: bool,
     acceptance: Acceptance,
     fleet: Fleet,
     deadline_queue: DeadlineQueue<RequestKey>,
@@ -141,6 +143,7 @@
             members,
             heartbeat_counter: 0,
             draining: false,
+            closed: false,
             acceptance: Acceptance::default(),
             fleet,
             deadline_queue: DeadlineQueue::default(),
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -217,13 +217,13 @@
 }
 
 /// Leaves the address list, serves until address lists cached by callers have
-/// expired, and returns when the last request has ended.
+/// expired, and returns when the last request has ended and no more are admitted.
 async fn stop(control: &ControlHandle, draining: &AtomicBool, address_ttl: Duration) {
     log::info!("draining");
     control.send(Msg::Drain).await;
     draining.store(true, Ordering::Relaxed);
     Timer::after(address_ttl + GOSSIP_MARGIN).await;
-    while control.ask(Msg::InFlight).await > 0 {
+    while !control.ask(Msg::CloseIfIdle).await {
         Timer::after(IN_FLIGHT_POLL).await;
     }
     Timer::after(FLUSH_DELAY).await;
