Logs: name only the requests that a stop has cut

Cause: cut_by_stop named all that was in flight 0.5 s before the kill, also requests that got 502 or 503 then and streams that ended in the time left, so a count of lost requests was too high (found by the reviewer). Change: it names what is in flight as the process ends.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,7 +24,6 @@
 use briarhall_policy::health::Health;
 use briarhall_policy::health::SendOutcome;
 use briarhall_policy::in_flight::InFlightRequests;
-use briarhall_policy::in_flight::RequestInFlight;
 use briarhall_policy::load_tracker::LoadTracker;
 use briarhall_policy::load_tracker::tag;
 use briarhall_policy::pace::Pace;
@@ -280,15 +279,11 @@
         in_flight
     }
 
-    /// Ends what is still in flight, and returns it: takes no more requests, and answers
-    /// those to whose clients nothing has been sent.
-    pub fn end_requests(&self) -> Vec<RequestInFlight> {
-        let mut state = self.state();
-        state.in_flight.close();
-        let in_flight = state.in_flight.iter().cloned().collect();
-        drop(state);
+    /// Takes no more requests, and answers those in flight to whose clients nothing has been
+    /// sent.
+    pub fn end_requests(&self) {
+        self.state().in_flight.close();
         self.end_requests.0.close();
-        in_flight
     }
 
     /// Waits until what is still in flight is to end.
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -8,7 +8,6 @@
 use async_channel::Sender;
 use async_io::Timer;
 use briarhall_net::Sessions;
-use briarhall_policy::in_flight::RequestInFlight;
 
 use crate::attempt::elapsed_ms;
 use crate::state::Shared;
@@ -67,9 +66,9 @@
     while !have_ended() && Instant::now() < stop_deadline {
         Timer::after(CHECK_INTERVAL).await;
     }
-    let cut = shared.end_requests();
+    shared.end_requests();
     flush(sessions, start + grace.saturating_sub(KILL_MARGIN)).await;
-    log_stopped(&cut, start);
+    log_stopped(shared, start);
 }
 
 /// Waits until the last answers are written, and their clients have read them, until `ends`
@@ -81,9 +80,11 @@
     }
 }
 
-/// Logs the end of the process, and the requests that were in flight then.
-fn log_stopped(cut: &[RequestInFlight], stop_began: Instant) {
-    for request in cut {
+/// Logs the end of the process, and the requests that are still in flight.
+fn log_stopped(shared: &Shared, stop_began: Instant) {
+    let state = shared.state();
+    let in_flight = state.in_flight.len();
+    for request in state.in_flight.iter() {
         let (replica, sent_ms) = match &request.sent {
             Some((replica, at)) => (replica.as_str(), elapsed_ms(*at)),
             None => ("", 0),
@@ -98,6 +99,6 @@
             "the process ends before the request does"
         );
     }
-    let in_flight = cut.len();
+    drop(state);
     log::info!(event = "stopped", in_flight, stopping_ms = elapsed_ms(stop_began); "gateway stopped");
 }
