Fault proxy: know its own address before it answers calls

Cause: the stand-in announced its control address and answered /carried before the task that forwards had run for the first time, which sets the address. Load makes that window wide.

Change: the address is set as the future is made. Evidence: by the code, the answer can only be null in that window; the failure was not repeated. The test and its bounds stay as they are.

--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -90,17 +90,26 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Forwards connections forever, to `target` or to the address that is set
-    /// later.
-    pub async fn run(self, listener: TcpListener, target: Option<SocketAddr>, executor: Executor) {
-        self.state().target = target;
-        self.state().proxy_address = listener.local_addr().ok();
-        loop {
-            let Ok((client, _peer)) = listener.accept().await else {
-                continue;
-            };
-            let proxy = self.clone();
-            executor.detach(async move { proxy.forward(client).await });
+    /// Forwards connections forever, to `target` or to the address that is set later. Its
+    /// own address is known from now on, not from when the future first runs.
+    pub fn run(
+        self,
+        listener: TcpListener,
+        target: Option<SocketAddr>,
+        executor: Executor,
+    ) -> impl Future<Output = ()> + Send + 'static {
+        let mut state = self.state();
+        state.target = target;
+        state.proxy_address = listener.local_addr().ok();
+        drop(state);
+        async move {
+            loop {
+                let Ok((client, _peer)) = listener.accept().await else {
+                    continue;
+                };
+                let proxy = self.clone();
+                executor.detach(async move { proxy.forward(client).await });
+            }
         }
     }
 
