--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod advertised;
 pub mod answer_times;
+pub mod capacity;
 pub mod claims;
 pub mod cold_replicas;
 pub mod config_store;
@@ -21,6 +22,7 @@
 pub mod fleet;
 pub mod gang;
 pub mod health;
+pub mod holdings;
 pub mod in_flight;
 pub mod lease;
 pub mod limits;
