--- a/crates/lab/src/site/mod.rs
+++ b/crates/lab/src/site/mod.rs
@@ -108,6 +108,8 @@
     /// Whether connections to the platform, the routers' mesh addresses and the
     /// endpoints pass through fault proxies.
     pub proxies: bool,
+    /// `memory_mb` and `max_fds` of the routers, if not the defaults.
+    pub router_limits: Option<[u64; 2]>,
 }
 
 impl Default for SiteSpec {
@@ -130,6 +132,7 @@
             vm_lag: Duration::from_millis(300),
             log: "info".to_owned(),
             proxies: false,
+            router_limits: None,
         }
     }
 }
--- a/crates/lab/src/site/start.rs
+++ b/crates/lab/src/site/start.rs
@@ -169,10 +169,14 @@
         } else {
             format!("mesh_seeds:\n{seeds}")
         };
+        let limits = self.spec.router_limits;
+        let limits = limits.map_or_else(String::new, |[memory_mb, max_fds]| {
+            format!("memory_mb: {memory_mb}\nmax_fds: {max_fds}\n")
+        });
         format!(
             "zone: {zone}\ncallers: {callers}\noperators: {operators}\nmesh: {mesh}\n\
              platform: {platform}\nmesh_secret_file: {secret}\npolicy: {policy}\n\
-             address_ttl: {ttl}ms\nreport_lag: {lag}ms\nlog: {log}\n{advertise}{seeds}\
+             address_ttl: {ttl}ms\nreport_lag: {lag}ms\nlog: {log}\n{advertise}{seeds}{limits}\
              operator_keys:\n  - name: lab\n    digest: {digest}\n",
             zone = self.zone(number),
             secret = self.dir.join("mesh-secret").display(),
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use briarhall_policy::capacity::ProcessLimits;
 use briarhall_policy::policies::Policy;
 use briarhall_types::Digest;
 use briarhall_types::ZoneName;
@@ -23,6 +24,10 @@
 const DEFAULT_PLATFORM_LIMIT: Duration = Duration::from_secs(1);
 const DEFAULT_LOG: &str = "info";
 const MIN_SECRET_BYTES: usize = 16;
+/// Memory and descriptors that a router can do with.
+const MIN_MEMORY_MB: usize = 24;
+const MIN_DESCRIPTORS: usize = 300;
+const MEBIBYTE: usize = 1024 * 1024;
 
 /// An operator and the digest of their key.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -60,6 +65,8 @@
     pub operator_keys: Vec<OperatorKey>,
     /// Number of threads for traffic.
     pub traffic_threads: usize,
+    /// Memory and descriptors that the router may use.
+    pub process_limits: ProcessLimits,
     /// How long callers may cache the list of addresses.
     pub address_ttl: Duration,
     /// Maximum lag of load reports.
@@ -98,6 +105,7 @@
     let mesh_secret = secret(fields, "mesh_secret_file");
     let operator_keys = operator_keys(fields);
     let traffic_threads = traffic_threads(fields);
+    let process_limits = process_limits(fields);
     let address_ttl = duration(fields, "address_ttl", DEFAULT_ADDRESS_TTL);
     let report_lag = duration(fields, "report_lag", DEFAULT_REPORT_LAG);
     let policy = fields.optional("policy").unwrap_or_default();
@@ -124,6 +132,7 @@
         mesh_secret: mesh_secret?,
         operator_keys,
         traffic_threads,
+        process_limits,
         address_ttl,
         report_lag,
         policy,
@@ -201,6 +210,24 @@
     threads
 }
 
+fn process_limits(fields: &mut Fields<'_>) -> ProcessLimits {
+    let defaults = ProcessLimits::default();
+    let memory_mb = at_least(fields, "memory_mb", MIN_MEMORY_MB);
+    let descriptors = at_least(fields, "max_fds", MIN_DESCRIPTORS);
+    ProcessLimits {
+        memory_bytes: memory_mb.map_or(defaults.memory_bytes, |mb| mb.saturating_mul(MEBIBYTE)),
+        descriptors: descriptors.unwrap_or(defaults.descriptors),
+    }
+}
+
+fn at_least(fields: &mut Fields<'_>, name: &'static str, least: usize) -> Option<usize> {
+    let value = fields.optional(name);
+    if let Some(value) = value.filter(|value| *value < least) {
+        fields.problem(name, &format!("is {value}; choose at least {least}"));
+    }
+    value
+}
+
 fn check_distinct(fields: &Fields<'_>, addresses: &[(&str, Option<SocketAddr>)]) {
     for (i, (name, address)) in addresses.iter().enumerate() {
         let Some(address) = address.filter(|address| address.port() != 0) else {
