--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -13,6 +13,7 @@
 use briarhall_net::read_within;
 use briarhall_net::timeout;
 use briarhall_policy::health::SendOutcome;
+use briarhall_policy::holdings::Pool;
 use hyper::Response;
 use hyper::http::response;
 
@@ -65,8 +66,8 @@
             SendResult::Answer(exchange, _head) => {
                 let Exchange { reply, connection } = *exchange;
                 let (parts, body) = reply.into_parts();
-                let budget = &dispatcher.shared.answer_bytes;
-                let whole = read_within(body, MAX_RESPONSE_BYTES, budget);
+                let hold = job.client.share(Pool::Answers);
+                let whole = read_within(body, MAX_RESPONSE_BYTES, hold);
                 let read = timeout(job.time_left().saturating_sub(RESPONSE_MARGIN), whole).await;
                 drop(connection);
                 match read {
--- a/crates/gateway/src/client_request.rs
+++ b/crates/gateway/src/client_request.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use briarhall_net::Body;
+use briarhall_net::Client;
 use briarhall_net::Handler;
 use briarhall_net::ReadBodyError;
 use briarhall_net::read_limited;
@@ -192,7 +193,7 @@
     async fn serve_admitted(
         &self,
         arrived: Instant,
-        parts: request::Parts,
+        mut parts: request::Parts,
         head: RequestHead,
         body: Incoming,
         detour: Option<u32>,
@@ -205,6 +206,12 @@
             organisation,
         } = self.admit(&head, parts.uri.path())?;
         let deadline = deadline(&head, &route, arrived);
+        let service =
+            routes::choose_service(&route, rand::random()).ok_or(RequestError::NoRoute)?;
+        let service = service.clone();
+        // Sessions add their client to each request.
+        let client = parts.extensions.remove::<Arc<Client>>();
+        let client = client.ok_or(RequestError::Crowded)?;
         let limit = table.limits().max_body_bytes;
         let left = deadline.saturating_duration_since(Instant::now());
         let body = timeout(left, read_limited(body, limit)).await;
@@ -214,9 +221,6 @@
                 ReadBodyError::TooLarge { .. } => RequestError::BodyTooLarge,
                 ReadBodyError::Truncated(_) => RequestError::BodyIncomplete,
             })?;
-        let service =
-            routes::choose_service(&route, rand::random()).ok_or(RequestError::NoRoute)?;
-        let service = service.clone();
         let shared = &self.dispatcher.shared;
         shared.record_arrival(&service, detour.is_some());
         let allowed = route.max_attempts.max(1);
@@ -238,6 +242,7 @@
             is_detoured: detour.is_some(),
             known_fingerprint: OnceLock::new(),
             in_flight: Arc::clone(in_flight),
+            client,
         };
         if job.route.kind == RouteKind::Streaming {
             stream::serve(&self.dispatcher, job).await
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use briarhall_net::Client;
 use briarhall_policy::crashes::Fingerprint;
 use briarhall_policy::crashing_parts::PartDigest;
 use briarhall_policy::engine;
@@ -91,6 +92,8 @@
     pub known_fingerprint: OnceLock<Fingerprint>,
     /// Keeps the request in flight, so that a stopping process waits for it.
     pub in_flight: Arc<InFlight>,
+    /// The connection that it came on, for which bytes are held.
+    pub client: Arc<Client>,
 }
 
 /// Returns how long a client waits for the first event of a stream, or for the
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -55,6 +55,7 @@
 mod stream_log;
 mod wire;
 
+pub use briarhall_policy::capacity::ProcessLimits;
 pub use briarhall_policy::cold_replicas::ColdBound;
 pub use briarhall_policy::evacuations::EvacuationChange;
 pub use briarhall_policy::pace::ReportedLoad;
--- a/crates/gateway/src/request_error.rs
+++ b/crates/gateway/src/request_error.rs
@@ -15,6 +15,9 @@
 /// `Retry-After` when no better estimate is known: about the time in which an
 /// engine finishes a few short requests.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// `Retry-After` when clients hold too much of the process: those that stall have been turned
+/// away by then.
+const CROWDED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Why a request gets no replica's answer. The texts are sent to the client.
 #[derive(Debug, Clone, Error)]
@@ -46,6 +49,9 @@
         /// Time after which the client may retry.
         retry_after: Duration,
     },
+    /// Clients together hold too much of this process; it has not run.
+    #[error("too much is held for clients; it has not run")]
+    Crowded,
     /// This gateway reaches no replica, and knows no other gateway that does; it has not
     /// run.
     #[error("no replica can be reached; it has not run")]
@@ -82,6 +88,7 @@
             Self::NoRoute => "no_route",
             Self::Unauthorised => "unauthorised",
             Self::NotRun { .. } => "not_run",
+            Self::Crowded => "crowded",
             Self::CutOff { .. } => "cut_off",
             Self::AnswerLost => "answer_lost",
             Self::DeadlineExceeded => "time_over",
@@ -97,6 +104,7 @@
             Self::NotReady
             | Self::EvacuationsUnknown
             | Self::NotRun { .. }
+            | Self::Crowded
             | Self::CutOff { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthorised => StatusCode::UNAUTHORIZED,
@@ -115,6 +123,7 @@
         let retry_after = match self {
             Self::NotRun { retry_after } | Self::CutOff { retry_after } => Some(*retry_after),
             Self::NotReady | Self::EvacuationsUnknown => Some(DEFAULT_RETRY_AFTER),
+            Self::Crowded => Some(CROWDED_RETRY_AFTER),
             _ => None,
         };
         // Rounded up: a caller that comes back too early is refused again.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use briarhall_policy::capacity::ProcessLimits;
 use briarhall_policy::cold_replicas::ColdBound;
 use briarhall_policy::peers::VmName;
 use briarhall_policy::policies::Policy;
@@ -18,6 +19,8 @@
     pub zone: ZoneName,
     /// Processor time that the VM gives the process, in thousandths of a core.
     pub millicores: u32,
+    /// Memory and descriptors that the VM gives the process.
+    pub process_limits: ProcessLimits,
     /// Address that clients connect to.
     pub client_address: SocketAddr,
     /// Address of the readiness port.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -10,17 +10,18 @@
 use async_net::UdpSocket;
 use async_signal::Signal;
 use async_signal::Signals;
+use briarhall_net::Admission;
 use briarhall_net::Executor;
 use briarhall_net::Handler;
 use briarhall_net::HttpClient;
 use briarhall_net::LogTarget;
 use briarhall_net::Logging;
 use briarhall_net::MetricsService;
-use briarhall_net::ServerOptions;
 use briarhall_net::SessionLimits;
 use briarhall_net::Sessions;
-use briarhall_net::bind;
-use briarhall_net::serve;
+use briarhall_net::bind_bounded;
+use briarhall_policy::capacity::Capacity;
+use briarhall_policy::holdings::Pool;
 use briarhall_policy::resumption::List;
 use briarhall_types::ClientLimits;
 use futures_lite::StreamExt;
@@ -59,6 +60,13 @@
     idle_timeout: Duration::from_mins(1),
 };
 
+/// Limits on connections to the directory, of health checks, and that read metrics.
+const SIDE_LIMITS: SessionLimits = SessionLimits {
+    max_header_bytes: 16 * 1024,
+    header_timeout: Duration::from_secs(10),
+    idle_timeout: Duration::from_mins(1),
+};
+
 /// Keeps a task running for the life of the process, with clones of its arguments.
 macro_rules! keep_running {
     ($executor:ident, $task:literal, $($run:ident)::+ ($($arg:ident),+)) => {{
@@ -147,28 +155,42 @@
         wire,
         shared: Arc::clone(&shared),
     };
+    let capacity = Capacity::of(settings.process_limits);
+    log::info!(event = "capacity", clients = capacity.clients, requests = capacity.requests, body_bytes = capacity.body_bytes, answer_bytes = capacity.answer_bytes; "what clients may hold together");
+    let metrics = shared.metrics.clone();
+    let admission = Admission::new(capacity, metrics.clone());
+    let (end_sessions, end) = async_channel::bounded(1);
+    let limits = session_limits(ClientLimits::default());
+    let sessions = Sessions::new(executor.clone(), limits, end, admission);
+    let side = SideListeners {
+        executor: &executor,
+        sessions: &sessions,
+    };
     if let Some(address) = settings.readiness_address {
-        serve_on(&executor, "ready", address, directory.clone())?;
+        let places = capacity.health_checks;
+        side.serve(
+            "ready",
+            address,
+            Pool::HealthChecks,
+            places,
+            directory.clone(),
+        )?;
     }
     if let Some(address) = settings.directory_address {
-        serve_on(&executor, "directory", address, directory)?;
+        let places = capacity.directory;
+        side.serve("directory", address, Pool::Directory, places, directory)?;
     }
     if let Some(address) = settings.metrics_address {
-        let metrics = shared.metrics.clone();
-        serve_on(&executor, "metrics", address, MetricsService { metrics })?;
+        let places = capacity.metrics;
+        let service = MetricsService { metrics };
+        side.serve("metrics", address, Pool::Metrics, places, service)?;
     }
-    let (end_sessions, end) = async_channel::bounded(1);
-    let sessions = Sessions::new(
-        executor.clone(),
-        session_limits(ClientLimits::default()),
-        end,
-    );
     shared.limit_sessions(sessions.clone());
     // A stop waits for the answers to other gateways as well.
-    let relay_sessions = sessions.of_other_listener(RELAY_LIMITS);
-    let listener = listen("relay", settings.relay_address)?;
+    let relay_sessions = sessions.of_other_listener(RELAY_LIMITS, Pool::Peers);
+    let listener = listen("relay", settings.relay_address, capacity.peers)?;
     executor.detach(relay_sessions.serve(listener, relay));
-    let listener = listen("front", settings.client_address)?;
+    let listener = listen("front", settings.client_address, capacity.clients)?;
     executor.detach(sessions.clone().serve(listener, client_requests));
     stop_signal(&mut signals).await?;
     let sent_at = signal_time.earliest();
@@ -275,23 +297,37 @@
     pause_guard
 }
 
-fn serve_on<H>(
-    executor: &Executor,
-    field: &'static str,
-    address: SocketAddr,
-    handler: H,
-) -> Result<(), StartError>
-where
-    H: Handler,
-{
-    let listener = listen(field, address)?;
-    let options = ServerOptions::default();
-    executor.detach(serve(listener, executor.clone(), options, handler));
-    Ok(())
+/// Starts listeners for which no stop waits.
+struct SideListeners<'a> {
+    executor: &'a Executor,
+    sessions: &'a Sessions,
 }
 
-fn listen(field: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    bind(address).map_err(|e| bind_error(field, address, e))
+impl SideListeners<'_> {
+    fn serve<H>(
+        &self,
+        field: &'static str,
+        address: SocketAddr,
+        pool: Pool,
+        places: usize,
+        handler: H,
+    ) -> Result<(), StartError>
+    where
+        H: Handler,
+    {
+        let listener = listen(field, address, places)?;
+        let sessions = self.sessions.of_side_listener(SIDE_LIMITS, pool);
+        self.executor.detach(sessions.serve(listener, handler));
+        Ok(())
+    }
+}
+
+fn listen(
+    field: &'static str,
+    address: SocketAddr,
+    places: usize,
+) -> Result<TcpListener, StartError> {
+    bind_bounded(address, places).map_err(|e| bind_error(field, address, e))
 }
 
 fn bind_error(field: &'static str, address: SocketAddr, source: io::Error) -> StartError {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,7 +12,6 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
-use briarhall_net::ByteBudget;
 use briarhall_net::Metrics;
 use briarhall_net::Sessions;
 use briarhall_policy::answer_times::AnswerTimes;
@@ -58,10 +57,6 @@
 /// are known: a gateway that is cut off must not spend the others' share.
 const MIN_GATEWAYS: usize = 10;
 
-/// Bytes that all answers together may hold that are read whole before they are passed
-/// on, until their clients have them.
-const MAX_ANSWER_BYTES: usize = 24 * 1024 * 1024;
-
 /// Failed sends that wait for a check.
 const MAX_FAILED: usize = 128;
 
@@ -158,8 +153,6 @@
     pub settings: Settings,
     /// Counters and latencies.
     pub metrics: Metrics,
-    /// Bytes of whole answers that their clients do not have yet.
-    pub answer_bytes: ByteBudget,
     /// Random number of this run of the process.
     pub incarnation: Incarnation,
     state: Mutex<State>,
@@ -231,7 +224,6 @@
         let shared = Self {
             settings,
             metrics: Metrics::in_memory("briarhall.gateway"),
-            answer_bytes: ByteBudget::new(MAX_ANSWER_BYTES),
             incarnation: rand::random(),
             state: Mutex::new(state),
             heartbeat_requests,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -18,6 +18,7 @@
 use briarhall_net::timeout;
 use briarhall_policy::engine;
 use briarhall_policy::health::SendOutcome;
+use briarhall_policy::holdings::Pool;
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_lite::future;
@@ -175,8 +176,8 @@
     let Exchange { reply, connection } = exchange;
     let (parts, body) = reply.into_parts();
     if !parts.status.is_success() || !is_event_stream(&parts.headers) {
-        let budget = &dispatcher.shared.answer_bytes;
-        let whole = read_within(body, MAX_WHOLE_BYTES, budget);
+        let hold = job.client.share(Pool::Answers);
+        let whole = read_within(body, MAX_WHOLE_BYTES, hold);
         return match timeout(left, whole).await {
             Ok(Ok(body)) => {
                 let outcome = if parts.status.is_server_error() {
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -3,21 +3,25 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
+use std::pin::pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use briarhall_policy::holdings::Pool;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_lite::Stream;
+use futures_lite::future;
 use http_body::Frame;
 use http_body::SizeHint;
 use http_body_util::BodyExt;
 use thiserror::Error;
 
-use crate::ByteBudget;
-use crate::ByteShare;
+use crate::admission::Client;
+use crate::byte_budget::ByteHold;
 
 const CHANNEL_FRAMES: usize = 64;
 /// Longest frame of a body that is complete in memory. hyper copies each frame, and takes
@@ -28,7 +32,9 @@
 
 /// Bytes of each body that count against no budget: small ones are read whatever others
 /// hold.
-pub const UNBUDGETED_BYTES: usize = 64 * 1024;
+pub const UNBUDGETED_BYTES: usize = 16 * 1024;
+/// Bytes of a body after which they are reported as progress of its client.
+const REPORTED_BYTES: usize = 1024;
 /// Part of its length by which a buffer grows beyond what it needs.
 const GROWTH_DIVISOR: usize = 8;
 
@@ -230,63 +236,142 @@
     Ok(buf.freeze())
 }
 
-/// Bytes that count against a budget until they are dropped.
-struct BudgetedBytes {
+/// Bytes that count against a bound until they are dropped.
+struct HeldBytes<H> {
     bytes: Vec<u8>,
-    _share: ByteShare,
+    hold: H,
 }
 
-impl AsRef<[u8]> for BudgetedBytes {
+impl<H> HeldBytes<H>
+where
+    H: ByteHold,
+{
+    fn new(hold: H) -> Self {
+        Self {
+            bytes: Vec::new(),
+            hold,
+        }
+    }
+
+    /// Adds bytes, which with those before are at most `limit`.
+    async fn push(&mut self, data: &[u8], limit: usize) -> Result<(), ReadWithinError> {
+        let needed = self.bytes.len() + data.len();
+        if needed > limit {
+            return Err(ReadBodyError::TooLarge { limit }.into());
+        }
+        if needed > self.bytes.capacity() {
+            // Doubling would hold up to twice of what is counted.
+            let capacity = match needed + needed / GROWTH_DIVISOR {
+                grown if needed <= UNBUDGETED_BYTES => grown.min(UNBUDGETED_BYTES),
+                grown => grown,
+            };
+            let counted = capacity.saturating_sub(UNBUDGETED_BYTES);
+            if !self.hold.raise_to(counted).await {
+                return Err(self.no_memory());
+            }
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+
+    fn no_memory(&self) -> ReadWithinError {
+        ReadWithinError::NoMemory {
+            held: self.bytes.len(),
+        }
+    }
+}
+
+impl<H> AsRef<[u8]> for HeldBytes<H> {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
 }
 
 /// Reads a body of at most `limit` bytes, of which all but the first
-/// [`UNBUDGETED_BYTES`] count against `budget` until the returned bytes are dropped. Reads
+/// [`UNBUDGETED_BYTES`] are held by `hold` until the returned bytes are dropped. Reads
 /// no further than it has to: the caller closes the connection.
 ///
 /// # Errors
 ///
-/// Returns an error when the body is longer, ends early, or exceeds what the budget has
-/// left.
-pub async fn read_within<B>(
+/// Returns an error when the body is longer, ends early, or exceeds what may be held.
+pub async fn read_within<B, H>(mut body: B, limit: usize, hold: H) -> Result<Bytes, ReadWithinError>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+    H: ByteHold,
+{
+    if body.size_hint().lower() > limit as u64 {
+        return Err(ReadBodyError::TooLarge { limit }.into());
+    }
+    let mut buf = HeldBytes::new(hold);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| ReadBodyError::Truncated(e.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            buf.push(&data, limit).await?;
+        }
+    }
+    Ok(Bytes::from_owner(buf))
+}
+
+/// Reads the body of a client's request, of at most `limit` bytes, until all of it has come
+/// or the client has to go. What is only announced takes no room.
+///
+/// # Errors
+///
+/// Returns an error when the body is longer, ends early, or the process has no room for it.
+pub async fn read_from_client<B>(
     mut body: B,
     limit: usize,
-    budget: &ByteBudget,
+    client: &Arc<Client>,
 ) -> Result<Bytes, ReadWithinError>
 where
     B: http_body::Body<Data = Bytes> + Unpin,
     B::Error: std::fmt::Display,
 {
-    if body.size_hint().lower() > limit as u64 {
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if announced > limit {
+        future::or(discard(body), client.evicted()).await;
         return Err(ReadBodyError::TooLarge { limit }.into());
     }
-    let mut share = budget.share();
-    let mut buf = Vec::new();
-    while let Some(frame) = body.frame().await {
+    if !client.may_fit(Pool::Bodies, announced) {
+        return Err(ReadWithinError::NoMemory { held: 0 });
+    }
+    let mut held = HeldBytes::new(client.share(Pool::Bodies));
+    let mut evicted = pin!(client.evicted());
+    let mut unreported = 0;
+    loop {
+        let next = async { Some(body.frame().await) };
+        let gone = async {
+            evicted.as_mut().await;
+            None
+        };
+        let Some(frame) = future::or(next, gone).await else {
+            return Err(held.no_memory());
+        };
+        let Some(frame) = frame else {
+            break;
+        };
         let frame = frame.map_err(|e| ReadBodyError::Truncated(e.to_string()))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let needed = buf.len() + data.len();
-        if needed > limit {
-            return Err(ReadBodyError::TooLarge { limit }.into());
-        }
-        if needed > buf.capacity() {
-            // Doubling would hold up to twice of what is counted.
-            let capacity = needed + needed / GROWTH_DIVISOR;
-            if !share.raise_to(capacity.saturating_sub(UNBUDGETED_BYTES)) {
-                return Err(ReadWithinError::NoMemory { held: buf.len() });
+        match held.push(&data, limit).await {
+            Err(e @ ReadWithinError::Body(ReadBodyError::TooLarge { .. })) => {
+                drop(held);
+                future::or(discard(body), client.evicted()).await;
+                return Err(e);
             }
-            buf.reserve_exact(capacity - buf.len());
+            pushed => pushed?,
+        }
+        unreported += data.len();
+        if unreported >= REPORTED_BYTES {
+            client.progress(unreported);
+            unreported = 0;
         }
-        buf.extend_from_slice(&data);
     }
-    Ok(Bytes::from_owner(BudgetedBytes {
-        bytes: buf,
-        _share: share,
-    }))
+    client.begin_waiting().map_err(|_gone| held.no_memory())?;
+    Ok(Bytes::from_owner(held))
 }
 
 /// Reads and drops up to [`DISCARD_BYTES`] more: a client whose connection is
--- a/crates/net/src/byte_budget.rs
+++ b/crates/net/src/byte_budget.rs
@@ -4,6 +4,12 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+/// A part of a bound, which is given back when this is dropped.
+pub trait ByteHold: Send + Sync + 'static {
+    /// Raises the part to `bytes`, unless too little is left.
+    fn raise_to(&mut self, bytes: usize) -> impl Future<Output = bool> + Send;
+}
+
 /// Bytes that readers may hold together.
 #[derive(Debug)]
 pub struct ByteBudget {
@@ -52,6 +58,12 @@
     }
 }
 
+impl ByteHold for ByteShare {
+    async fn raise_to(&mut self, bytes: usize) -> bool {
+        Self::raise_to(self, bytes)
+    }
+}
+
 impl Drop for ByteShare {
     fn drop(&mut self) {
         self.left.fetch_add(self.held, Ordering::Relaxed);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 //! This crate makes no scheduling or routing decisions: programs pass their own
 //! handler to [`serve`] and interpret the answers of [`HttpClient`] themselves.
 
+mod admission;
 mod body;
 mod byte_budget;
 mod client;
@@ -18,14 +19,21 @@
 mod sessions;
 mod timeout;
 
+pub use admission::Admission;
+pub use admission::Admitted;
+pub use admission::Client;
+pub use admission::NoRoom;
+pub use admission::Share;
 pub use body::Body;
 pub use body::BodyError;
 pub use body::BodySender;
 pub use body::ReadBodyError;
 pub use body::ReadWithinError;
+pub use body::read_from_client;
 pub use body::read_limited;
 pub use body::read_within;
 pub use byte_budget::ByteBudget;
+pub use byte_budget::ByteHold;
 pub use byte_budget::ByteShare;
 pub use client::Call;
 pub use client::Connection;
@@ -54,6 +62,7 @@
 pub use server::Handler;
 pub use server::ServerOptions;
 pub use server::bind;
+pub use server::bind_bounded;
 pub use server::serve;
 pub use sessions::SessionLimits;
 pub use sessions::Sessions;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -26,6 +26,9 @@
 /// Connections that may wait to be accepted. At the default of 128, clients in a
 /// burst wait a second until they send their SYN again.
 const LISTEN_BACKLOG: i32 = 4_096;
+/// The same for a listener with few places: most of a burst is turned away at once instead
+/// of waiting for another SYN.
+const MIN_BACKLOG: i32 = 128;
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Answers requests.
@@ -62,14 +65,30 @@
 ///
 /// Returns the system's error, such as when the address is in use.
 pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::STREAM,
-        Some(Protocol::TCP),
-    )?;
+    listen(listening_socket(address)?, address, LISTEN_BACKLOG)
+}
+
+/// Opens a listening socket at which about as many connections wait as there are `places`.
+///
+/// # Errors
+///
+/// Returns the system's error, such as when the address is in use.
+pub fn bind_bounded(address: SocketAddr, places: usize) -> io::Result<TcpListener> {
+    let socket = listening_socket(address)?;
+    let backlog = i32::try_from(places).unwrap_or(LISTEN_BACKLOG);
+    listen(socket, address, backlog.clamp(MIN_BACKLOG, LISTEN_BACKLOG))
+}
+
+fn listening_socket(address: SocketAddr) -> io::Result<Socket> {
+    let domain = Domain::for_address(address);
+    let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
+    Ok(socket)
+}
+
+fn listen(socket: Socket, address: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
     socket.bind(&address.into())?;
-    socket.listen(LISTEN_BACKLOG)?;
+    socket.listen(backlog)?;
     let listener = Async::<StdListener>::new(socket.into())?;
     Ok(listener.into())
 }
--- a/crates/net/src/sessions.rs
+++ b/crates/net/src/sessions.rs
@@ -24,6 +24,8 @@
 use async_io::Timer;
 use async_net::TcpListener;
 use async_net::TcpStream;
+use briarhall_policy::holdings::Pool;
+use briarhall_policy::holdings::Stage;
 use bytes::Bytes;
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
@@ -31,6 +33,8 @@
 use http_body::Frame;
 use http_body::SizeHint;
 use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
 use hyper::Version;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -39,10 +43,14 @@
 use socket2::SockFilter;
 use socket2::SockRef;
 
+use crate::Admission;
+use crate::Admitted;
 use crate::Body;
 use crate::BodyError;
+use crate::Client;
 use crate::Executor;
 use crate::Handler;
+use crate::Share;
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time that a new connection has for its first request during shutdown: some
@@ -51,6 +59,10 @@
 /// Time in which the handshakes that have begun end before a listener is closed: some round
 /// trips between availability zones.
 const HANDSHAKE_TIME: Duration = Duration::from_millis(50);
+/// Time for a client that has to go to be told so.
+const EVICTED_ANSWER_TIME: Duration = Duration::from_millis(500);
+/// Longest answer that counts as a part of its connection.
+const UNCOUNTED_ANSWER_BYTES: u64 = 4 * 1024;
 /// The smallest buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -70,6 +82,11 @@
 pub struct Sessions {
     limits: Arc<Mutex<SessionLimits>>,
     executor: Executor,
+    /// Admits connections, which count in this pool.
+    admission: Admission,
+    pool: Pool,
+    /// Whether the handler leaves it to the sessions to count the bytes of answers.
+    counts_answers: bool,
     /// Closed when connections are to be shut down.
     shutdown: Receiver<()>,
     /// Closed when no further connection is to be accepted.
@@ -126,13 +143,15 @@
 struct ConnectionState {
     activity: Mutex<Activity>,
     busy: Arc<AtomicUsize>,
+    client: Arc<Client>,
 }
 
 impl ConnectionState {
-    fn new(busy: &Arc<AtomicUsize>) -> Self {
+    fn new(busy: &Arc<AtomicUsize>, client: Arc<Client>) -> Self {
         Self {
             activity: Mutex::new(Activity::Idle(Instant::now())),
             busy: Arc::clone(busy),
+            client,
         }
     }
 
@@ -163,6 +182,12 @@
             _ => {}
         }
         *activity = new;
+        match new {
+            Activity::Idle(_) => self.client.set_stage(Stage::Idle),
+            // The handler knows when all of the request has come.
+            Activity::Head(_) | Activity::Request => self.client.set_stage(Stage::Sending),
+            Activity::Delivery(_) => self.client.set_stage(Stage::Reading),
+        }
     }
 }
 
@@ -178,10 +203,18 @@
     /// Creates sessions that run until the sender of `shutdown` is dropped; each
     /// then ends after its current request.
     #[must_use]
-    pub fn new(executor: Executor, limits: SessionLimits, shutdown: Receiver<()>) -> Self {
+    pub fn new(
+        executor: Executor,
+        limits: SessionLimits,
+        shutdown: Receiver<()>,
+        admission: Admission,
+    ) -> Self {
         Self {
             limits: Arc::new(Mutex::new(limits)),
             executor,
+            admission,
+            pool: Pool::Clients,
+            counts_answers: false,
             shutdown,
             accepting: async_channel::bounded(1),
             open: Arc::default(),
@@ -189,21 +222,45 @@
         }
     }
 
-    /// Creates sessions of another listener, which run as long as the process. Their clients
-    /// too are waited for by [`Self::are_idle`].
+    /// Creates sessions that run as long as the process.
     #[must_use]
-    pub fn of_other_listener(&self, limits: SessionLimits) -> Self {
+    pub fn of_process(
+        executor: Executor,
+        limits: SessionLimits,
+        admission: Admission,
+        pool: Pool,
+    ) -> Self {
         let accepting = async_channel::bounded(1);
         Self {
             limits: Arc::new(Mutex::new(limits)),
-            executor: self.executor.clone(),
+            executor,
+            admission,
+            pool,
+            counts_answers: true,
             shutdown: accepting.1.clone(),
             accepting,
             open: Arc::default(),
+            busy: Arc::default(),
+        }
+    }
+
+    /// Creates sessions of another listener, which run as long as the process. Their clients
+    /// too are waited for by [`Self::are_idle`].
+    #[must_use]
+    pub fn of_other_listener(&self, limits: SessionLimits, pool: Pool) -> Self {
+        Self {
             busy: Arc::clone(&self.busy),
+            ..self.of_side_listener(limits, pool)
         }
     }
 
+    /// Creates sessions of a listener for which no stop waits.
+    #[must_use]
+    pub fn of_side_listener(&self, limits: SessionLimits, pool: Pool) -> Self {
+        let (executor, admission) = (self.executor.clone(), self.admission.clone());
+        Self::of_process(executor, limits, admission, pool)
+    }
+
     /// Changes the limits, for open connections too.
     pub fn set_limits(&self, limits: SessionLimits) {
         *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = limits;
@@ -244,7 +301,7 @@
                 None
             };
             match future::or(accepted, stopped).await {
-                Some(Ok((stream, peer))) => self.begin(stream, peer, &handler),
+                Some(Ok((stream, peer))) => self.begin(stream, peer, &handler).await,
                 None => break,
                 Some(Err(e)) => {
                     // Most likely out of file descriptors: wait for some to be closed.
@@ -257,45 +314,64 @@
         refuse_handshakes(&listener);
         Timer::after(HANDSHAKE_TIME).await;
         while let Some(Ok((stream, peer))) = future::poll_once(listener.accept()).await {
-            self.begin(stream, peer, &handler);
+            self.begin(stream, peer, &handler).await;
         }
     }
 
-    fn begin<H>(&self, stream: TcpStream, peer: SocketAddr, handler: &H)
+    /// Begins a session, unless there is no place for it: the connection is closed then, with
+    /// nothing read.
+    async fn begin<H>(&self, stream: TcpStream, peer: SocketAddr, handler: &H)
     where
         H: Handler,
     {
+        let Ok(admitted) = self.admission.connect(self.pool, peer.ip()).await else {
+            return;
+        };
         let guard = OpenGuard::new(&self.open);
-        let session = self.clone().session(stream, peer, handler.clone());
+        let session = self
+            .clone()
+            .session(stream, peer, admitted, handler.clone());
         self.executor.detach(async move {
             session.await;
             drop(guard);
         });
     }
 
-    async fn session<H>(self, stream: TcpStream, peer: SocketAddr, handler: H)
+    async fn session<H>(self, stream: TcpStream, peer: SocketAddr, admitted: Admitted, handler: H)
     where
         H: Handler,
     {
         // Without `TCP_NODELAY` answers are only slower.
         let _result = stream.set_nodelay(true);
         let accepted = Instant::now();
-        let state = Arc::new(ConnectionState::new(&self.busy));
+        let Admitted {
+            client,
+            connection: _place,
+        } = admitted;
+        let state = Arc::new(ConnectionState::new(&self.busy, Arc::clone(&client)));
         let socket = &stream.clone();
         let is_http_1_0 = AtomicBool::new(false);
         let io = ObservedStream {
             stream,
             state: Arc::clone(&state),
         };
-        let service = service_fn(|req: Request<Incoming>| {
+        let service = service_fn(|mut req: Request<Incoming>| {
             let is_1_0 = req.version() == Version::HTTP_10;
             is_http_1_0.store(is_1_0, Ordering::Relaxed);
             let handler = handler.clone();
             let state = Arc::clone(&state);
-            async move {
+            let client = Arc::clone(&client);
+            let counts_answers = self.counts_answers;
+            req.extensions_mut().insert(Arc::clone(&client));
+            // Boxed, as most connections have no request most of the time.
+            Box::pin(async move {
                 state.set(Activity::Request);
                 let guard = RequestGuard { state };
-                let reply = handler.handle(req, peer).await;
+                let mut reply = handler.handle(req, peer).await;
+                let mut share = None;
+                if counts_answers {
+                    (reply, share) = counted(reply, &client).await;
+                }
                 if reply.body().is_in_memory() {
                     guard.deliver(false);
                 } else if is_1_0 {
@@ -305,8 +381,9 @@
                 Ok::<_, io::Error>(reply.map(|body| GuardedBody {
                     body,
                     _guard: guard,
+                    _share: share,
                 }))
-            }
+            })
         });
         let buffer = self.limits().max_header_bytes.max(MIN_BUFFER_BYTES);
         let conn = http1::Builder::new()
@@ -325,8 +402,16 @@
             Timer::at(accepted + FIRST_REQUEST_TIME).await;
             Ended::Shutdown
         };
+        let evicted = async {
+            client.evicted().await;
+            if matches!(state.activity(), Activity::Request) {
+                Timer::after(EVICTED_ANSWER_TIME).await;
+            }
+            Ended::TimedOut
+        };
         let served = async { Ended::Served(conn.as_mut().await) };
-        let ended = future::or(served, future::or(timed_out, shutdown)).await;
+        let cut = future::or(timed_out, evicted);
+        let ended = future::or(served, future::or(cut, shutdown)).await;
         let ended = match ended {
             Ended::Shutdown => {
                 conn.as_mut().graceful_shutdown();
@@ -389,6 +474,19 @@
     }
 }
 
+/// Counts the bytes of an answer that is complete in memory until its client has them.
+async fn counted(reply: Response<Body>, client: &Arc<Client>) -> (Response<Body>, Option<Share>) {
+    let bytes = http_body::Body::size_hint(reply.body()).lower();
+    if bytes <= UNCOUNTED_ANSWER_BYTES {
+        return (reply, None);
+    }
+    let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+    match client.take(Pool::Answers, bytes).await {
+        Ok(share) => (reply, Some(share)),
+        Err(_no_room) => (crate::status(StatusCode::SERVICE_UNAVAILABLE), None),
+    }
+}
+
 enum Ended {
     Served(hyper::Result<()>),
     TimedOut,
@@ -432,6 +530,7 @@
 struct GuardedBody {
     body: Body,
     _guard: RequestGuard,
+    _share: Option<Share>,
 }
 
 impl http_body::Body for GuardedBody {
@@ -481,7 +580,10 @@
 impl ObservedStream {
     /// Records that the client took some of an answer.
     fn record_progress(&self, written: &Poll<io::Result<usize>>) {
-        if matches!(written, Poll::Ready(Ok(written)) if *written > 0) {
+        if let Poll::Ready(Ok(written)) = written
+            && *written > 0
+        {
+            self.state.client.progress(*written);
             self.state.update(|activity| match activity {
                 Activity::Delivery(Delivery { is_last, .. }) => {
                     Some(Activity::Delivery(Delivery {
--- a/crates/net/tests/budget.rs
+++ b/crates/net/tests/budget.rs
@@ -36,14 +36,18 @@
 #[test]
 fn a_body_without_end_takes_no_more_than_the_budget() {
     let budget = ByteBudget::new(BUDGET);
-    let read = block_on(read_within(Endless, LIMIT, &budget));
+    let read = block_on(read_within(Endless, LIMIT, budget.share()));
     let Err(ReadWithinError::NoMemory { held }) = read else {
         panic!("{read:?}");
     };
     assert!(held <= BUDGET + 64 * 1024, "{held}");
     // What it held is free again.
     let whole = Bytes::from(vec![1; BUDGET / 2]);
-    let read = block_on(read_within(Body::full(whole.clone()), LIMIT, &budget));
+    let read = block_on(read_within(
+        Body::full(whole.clone()),
+        LIMIT,
+        budget.share(),
+    ));
     assert_eq!(read.expect("a body that fits"), whole);
 }
 
@@ -52,7 +56,11 @@
 fn short_bodies_are_read_whatever_others_hold() {
     let budget = ByteBudget::new(0);
     let short = Bytes::from(vec![1; 16 * 1024]);
-    let read = block_on(read_within(Body::full(short.clone()), LIMIT, &budget));
+    let read = block_on(read_within(
+        Body::full(short.clone()),
+        LIMIT,
+        budget.share(),
+    ));
     assert_eq!(read.expect("a short body"), short);
 }
 
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -64,13 +64,17 @@
         let sockets = limits.descriptors.saturating_sub(FILE_DESCRIPTORS);
         let connections = (part * 5 / CONNECTION_BYTES).min(sockets / 2);
         let eighths = |n: usize| (connections * n / 8).max(MIN_CONNECTIONS);
+        let clients = eighths(4);
+        let requests = (part * 4 / REQUEST_BYTES).min(sockets / 3);
         Self {
-            clients: eighths(4),
+            clients,
             peers: eighths(2),
             directory: eighths(1),
             health_checks: (connections / 16).max(MIN_CONNECTIONS),
             metrics: (connections / 16).max(MIN_CONNECTIONS),
-            requests: (part * 4 / REQUEST_BYTES).min(sockets / 3),
+            // With more of them than connections, those that wait for one silent service
+            // could have all.
+            requests: requests.min(clients),
             body_bytes: part * 3,
             answer_bytes: part * 2,
         }
--- a/crates/policy/tests/holdings.rs
+++ b/crates/policy/tests/holdings.rs
@@ -269,6 +269,7 @@
                     + capacity.body_bytes + capacity.answer_bytes;
                 assert!(bytes + limits.memory_bytes / 8 <= limits.memory_bytes + MIB);
                 let descriptors = connections + capacity.requests;
+                assert!(capacity.requests <= clients, "{capacity:?}");
                 assert!(descriptors * 10 <= (limits.descriptors - 200) * 9, "{descriptors}");
             }
         )*
