--- a/crates/gateway/src/client_request.rs
+++ b/crates/gateway/src/client_request.rs
@@ -10,8 +10,11 @@
 use briarhall_net::Client;
 use briarhall_net::Handler;
 use briarhall_net::ReadBodyError;
-use briarhall_net::read_limited;
+use briarhall_net::ReadWithinError;
+use briarhall_net::read_from_client;
 use briarhall_net::timeout;
+use briarhall_policy::holdings::Pool;
+use briarhall_policy::holdings::group_tag;
 use briarhall_policy::routes;
 use briarhall_policy::routes::RouteTable;
 use briarhall_types::Organisation;
@@ -212,14 +215,19 @@
         // Sessions add their client to each request.
         let client = parts.extensions.remove::<Arc<Client>>();
         let client = client.ok_or(RequestError::Crowded)?;
+        let of = organisation.as_ref().map(|o| group_tag(&o.name));
+        client.set_request(of, group_tag(&service));
+        let place = client.take(Pool::Requests, 1).await;
+        let place = place.map_err(|_no_room| RequestError::Crowded)?;
         let limit = table.limits().max_body_bytes;
         let left = deadline.saturating_duration_since(Instant::now());
-        let body = timeout(left, read_limited(body, limit)).await;
+        let body = timeout(left, read_from_client(body, limit, &client)).await;
         let body = body
             .map_err(|_elapsed| RequestError::BodyIncomplete)?
             .map_err(|e| match e {
-                ReadBodyError::TooLarge { .. } => RequestError::BodyTooLarge,
-                ReadBodyError::Truncated(_) => RequestError::BodyIncomplete,
+                ReadWithinError::Body(ReadBodyError::TooLarge { .. }) => RequestError::BodyTooLarge,
+                ReadWithinError::Body(ReadBodyError::Truncated(_)) => RequestError::BodyIncomplete,
+                ReadWithinError::NoMemory { .. } => RequestError::Crowded,
             })?;
         let shared = &self.dispatcher.shared;
         shared.record_arrival(&service, detour.is_some());
@@ -243,6 +251,7 @@
             known_fingerprint: OnceLock::new(),
             in_flight: Arc::clone(in_flight),
             client,
+            _place: place,
         };
         if job.route.kind == RouteKind::Streaming {
             stream::serve(&self.dispatcher, job).await
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use briarhall_net::Client;
+use briarhall_net::Share;
 use briarhall_policy::crashes::Fingerprint;
 use briarhall_policy::crashing_parts::PartDigest;
 use briarhall_policy::engine;
@@ -94,6 +95,8 @@
     pub in_flight: Arc<InFlight>,
     /// The connection that it came on, for which bytes are held.
     pub client: Arc<Client>,
+    /// Its place among the requests.
+    pub _place: Share,
 }
 
 /// Returns how long a client waits for the first event of a stream, or for the
