--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -158,7 +158,7 @@
     let capacity = Capacity::of(settings.process_limits);
     log::info!(event = "capacity", clients = capacity.clients, requests = capacity.requests, body_bytes = capacity.body_bytes, answer_bytes = capacity.answer_bytes; "what clients may hold together");
     let metrics = shared.metrics.clone();
-    let admission = Admission::new(capacity, metrics.clone());
+    let admission = Admission::new(capacity, settings.millicores, metrics.clone());
     let (end_sessions, end) = async_channel::bounded(1);
     let limits = session_limits(ClientLimits::default());
     let sessions = Sessions::new(executor.clone(), limits, end, admission);
--- a/crates/net/src/admission.rs
+++ b/crates/net/src/admission.rs
@@ -27,6 +27,7 @@
 
 use crate::Metrics;
 use crate::byte_budget::ByteHold;
+use crate::chunk_pace::ChunkPace;
 
 /// Shortest time between two log lines about clients that were turned away.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -45,6 +46,7 @@
 #[derive(Debug)]
 struct Shared {
     state: Mutex<State>,
+    chunk_pace: ChunkPace,
     metrics: Metrics,
 }
 
@@ -67,9 +69,9 @@
 }
 
 impl Admission {
-    /// Creates the pools of a process.
+    /// Creates the pools of a process whose part of a core is `millicores`.
     #[must_use]
-    pub fn new(capacity: Capacity, metrics: Metrics) -> Self {
+    pub fn new(capacity: Capacity, millicores: u32, metrics: Metrics) -> Self {
         let holdings = Holdings::new([
             (Pool::Clients, capacity.clients),
             (Pool::Peers, capacity.peers),
@@ -89,6 +91,7 @@
         Self {
             shared: Arc::new(Shared {
                 state: Mutex::new(state),
+                chunk_pace: ChunkPace::new(millicores),
                 metrics,
             }),
         }
@@ -256,6 +259,11 @@
         let _closed = self.evicted.recv().await;
     }
 
+    /// Waits for its turn to read more small chunks.
+    pub async fn small_chunks_turn(&self) {
+        self.shared.chunk_pace.turn().await;
+    }
+
     /// Returns whether so many bytes fit into a pool that holds nothing else.
     #[must_use]
     pub fn may_fit(&self, pool: Pool, bytes: usize) -> bool {
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -22,6 +22,8 @@
 
 use crate::admission::Client;
 use crate::byte_budget::ByteHold;
+use crate::chunk_pace::BATCH_CHUNKS;
+use crate::chunk_pace::SMALL_CHUNK_BYTES;
 
 const CHANNEL_FRAMES: usize = 64;
 /// Longest frame of a body that is complete in memory. hyper copies each frame, and takes
@@ -339,7 +341,7 @@
     }
     let mut held = HeldBytes::new(client.share(Pool::Bodies));
     let mut evicted = pin!(client.evicted());
-    let mut unreported = 0;
+    let (mut small_chunks, mut unreported) = (0, 0);
     loop {
         let next = async { Some(body.frame().await) };
         let gone = async {
@@ -369,6 +371,11 @@
             client.progress(unreported);
             unreported = 0;
         }
+        small_chunks += usize::from(data.len() <= SMALL_CHUNK_BYTES);
+        if small_chunks == BATCH_CHUNKS {
+            small_chunks = 0;
+            client.small_chunks_turn().await;
+        }
     }
     client.begin_waiting().map_err(|_gone| held.no_memory())?;
     Ok(Bytes::from_owner(held))
@@ -383,6 +390,7 @@
     let mut left = DISCARD_BYTES;
     while let Some(Ok(frame)) = body.frame().await {
         let read = frame.data_ref().map_or(0, Bytes::len);
+        let read = read.max(SMALL_CHUNK_BYTES);
         if read > left {
             return;
         }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod body;
 mod byte_budget;
+mod chunk_pace;
 mod client;
 mod exec;
 mod framing;
