--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,13 +12,17 @@
 use async_io::Timer;
 use briarhall_net::Body;
 use briarhall_net::BodySender;
+use briarhall_net::ByteHold;
+use briarhall_net::CHANNEL_FRAMES;
 use briarhall_net::Exchange;
 use briarhall_net::Framing;
+use briarhall_net::Share;
 use briarhall_net::read_within;
 use briarhall_net::timeout;
 use briarhall_policy::engine;
 use briarhall_policy::health::SendOutcome;
 use briarhall_policy::holdings::Pool;
+use briarhall_policy::holdings::Stage;
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_lite::future;
@@ -67,6 +71,10 @@
 const NEXT_EVENT_SILENCE_SHARE: f64 = 0.6;
 /// Longest answer that is not a stream, mostly the text of an error.
 const MAX_WHOLE_BYTES: usize = 1024 * 1024;
+/// Longest event that counts as a part of its request.
+const UNCOUNTED_EVENT_BYTES: usize = 1024;
+/// Events that wait for the client: those of the channel, and one on each side of it.
+const MAX_WAITING_EVENTS: usize = CHANNEL_FRAMES + 2;
 /// Time reserved to send the client an error before its deadline.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 /// Delay after a replica refused a request.
@@ -243,6 +251,8 @@
     rest_bytes: usize,
     /// Time that was waited for replicas since the first event.
     waited: Duration,
+    /// Bytes of events that the client has not read.
+    waiting_events: Share,
 }
 
 impl<W> StreamForwarder<W>
@@ -250,10 +260,12 @@
     W: Wire,
 {
     fn new(dispatcher: Dispatcher<W>, job: Job, attempts: Attempts, framing: Framing) -> Self {
+        let waiting_events = job.client.share(Pool::Answers);
         Self {
             dispatcher,
             job,
             attempts,
+            waiting_events,
             sequence: EventSequence::default(),
             events: 0,
             framing,
@@ -323,18 +335,18 @@
                     if !self.sequence.is_repeated(&event) {
                         self.sequence.record(&event);
                         self.events += u64::from(!event.is_blank);
-                        if tx.send(event.bytes).await.is_err() {
-                            return StreamEnd::ClientLeft;
+                        if let Err(end) = self.deliver(tx, event.bytes).await {
+                            return end;
                         }
                     }
                 }
                 StreamItem::End(rest) => {
                     self.record(&source, SendOutcome::Answered);
                     self.rest_bytes = rest.len();
-                    if !rest.is_empty() && tx.send(rest).await.is_err() {
-                        return StreamEnd::ClientLeft;
-                    }
-                    return StreamEnd::Complete;
+                    return match self.deliver(tx, rest).await {
+                        Ok(()) => StreamEnd::Complete,
+                        Err(end) => end,
+                    };
                 }
                 StreamItem::Broken(_) => {
                     let id = &source.placement.replica.id;
@@ -378,6 +390,29 @@
         }
     }
 
+    /// Sends bytes to the client. While it reads nothing, it may have to go for others.
+    async fn deliver(&mut self, tx: &BodySender, bytes: Bytes) -> Result<(), StreamEnd> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        if bytes.len() > UNCOUNTED_EVENT_BYTES {
+            let waiting = bytes.len().saturating_mul(MAX_WAITING_EVENTS);
+            if !self.waiting_events.raise_to(waiting).await {
+                return Err(StreamEnd::NoMemory);
+            }
+        }
+        let mut sent = pin!(tx.send(bytes));
+        let sent = if let Some(sent) = future::poll_once(sent.as_mut()).await {
+            sent
+        } else {
+            self.job.client.set_stage(Stage::Reading);
+            let sent = sent.await;
+            self.job.client.set_stage(Stage::Waiting);
+            sent
+        };
+        sent.map_err(|_left| StreamEnd::ClientLeft)
+    }
+
     /// Records the time of a complete answer, unless it was resumed.
     fn record_answer_time(&self) {
         if self.attempts.may_have_run > 1 {
--- a/crates/gateway/src/stream_log.rs
+++ b/crates/gateway/src/stream_log.rs
@@ -18,6 +18,8 @@
     DeadlineExceeded,
     /// No replica continued it.
     Broken,
+    /// Clients that do not read their answers hold too much.
+    NoMemory,
 }
 
 impl StreamEnd {
@@ -28,6 +30,7 @@
             Self::ClientLeft => "client_left",
             Self::DeadlineExceeded => "time_over",
             Self::Broken => "broken",
+            Self::NoMemory => "no_memory",
         }
     }
 }
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -25,10 +25,11 @@
 use crate::chunk_pace::BATCH_CHUNKS;
 use crate::chunk_pace::SMALL_CHUNK_BYTES;
 
-const CHANNEL_FRAMES: usize = 64;
+/// Frames that wait in a channel body.
+pub const CHANNEL_FRAMES: usize = 16;
 /// Longest frame of a body that is complete in memory. hyper copies each frame, and takes
 /// the next one when the client has read most of those before.
-const MAX_FRAME_BYTES: usize = 64 * 1024;
+const MAX_FRAME_BYTES: usize = 16 * 1024;
 /// Bytes that are still read and dropped of a body that is too long.
 const DISCARD_BYTES: usize = 64 * 1024 * 1024;
 
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -41,6 +41,10 @@
 /// Time for sent bytes to be acknowledged, equal to the time that all probes
 /// take.
 const ACK_TIMEOUT: Duration = Duration::from_secs(3);
+/// Bytes in the buffers of an exchange with a replica: those of the parser, which hold a head
+/// of an answer at most, and those of the system.
+const EXCHANGE_BUFFER_BYTES: usize = 32 * 1024;
+const EXCHANGE_SOCKET_BYTES: usize = 32 * 1024;
 const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
 
 /// How far a call had got when it failed.
@@ -279,9 +283,12 @@
         };
         let stream = connect(address, connect_limit).await?;
         enable_keepalive(&stream);
+        bound_buffers(&stream);
         let arrived = HeadArrived::default();
         let stream = HeadLimit::new(stream, arrived.clone());
-        let (mut sender, conn) = http1::handshake(FuturesIo::new(stream))
+        let (mut sender, conn) = http1::Builder::new()
+            .max_buf_size(EXCHANGE_BUFFER_BYTES)
+            .handshake(FuturesIo::new(stream))
             .await
             .map_err(broken)?;
         let connection = self.executor.spawn(async move {
@@ -373,6 +380,18 @@
     }
 }
 
+/// Bounds what waits in the system's buffers of a connection, which otherwise grow to
+/// megabytes while a replica or a client reads nothing.
+fn bound_buffers(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let set = socket
+        .set_recv_buffer_size(EXCHANGE_SOCKET_BYTES)
+        .and_then(|()| socket.set_send_buffer_size(EXCHANGE_SOCKET_BYTES));
+    if let Err(e) = set {
+        log::debug!(error = e.to_string().as_str(); "cannot bound the buffers of a connection");
+    }
+}
+
 /// Formats an error with its cause, which hyper leaves out.
 fn describe(e: &hyper::Error) -> String {
     let cause = e.source().map(|cause| format!(": {cause}"));
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -28,6 +28,7 @@
 pub use body::Body;
 pub use body::BodyError;
 pub use body::BodySender;
+pub use body::CHANNEL_FRAMES;
 pub use body::ReadBodyError;
 pub use body::ReadWithinError;
 pub use body::read_from_client;
--- a/crates/net/src/logging.rs
+++ b/crates/net/src/logging.rs
@@ -1,7 +1,7 @@
 //! Logs as JSON lines.
 //!
 //! Logging never blocks: lines go through a bounded queue to a writer thread.
-//! Lines that do not fit are dropped and counted, and a line with their number
+//! Lines that do not fit or are too long are dropped and counted, and a line with their number
 //! is written before the next one.
 
 use std::io;
@@ -31,6 +31,8 @@
 /// Lines that can wait to be written; a busy gateway logs about as many in a
 /// second.
 const QUEUE_LINES: usize = 512;
+/// Longest line that is written. Callers choose some of the texts in it.
+const MAX_LINE_BYTES: usize = 4 * 1024;
 /// Time for which the end of a program waits until its last lines are written.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time between two tries to ask for that while the queue is full.
@@ -186,6 +188,10 @@
         let mut line = Vec::with_capacity(256);
         (self.format)(&mut line, now, record)?;
         line.push(b'\n');
+        if line.len() > MAX_LINE_BYTES {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
         self.enqueue(line);
         Ok(())
     }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -59,6 +59,10 @@
     }
 }
 
+/// Bytes in the buffers of a client's connection. Without a bound the system lets them grow
+/// to megabytes for each.
+const SOCKET_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Opens a listening socket.
 ///
 /// # Errors
@@ -68,13 +72,17 @@
     listen(listening_socket(address)?, address, LISTEN_BACKLOG)
 }
 
-/// Opens a listening socket at which about as many connections wait as there are `places`.
+/// Opens a listening socket whose connections have small buffers in the system, and at which
+/// about as many connections wait as there are `places`.
 ///
 /// # Errors
 ///
 /// Returns the system's error, such as when the address is in use.
 pub fn bind_bounded(address: SocketAddr, places: usize) -> io::Result<TcpListener> {
     let socket = listening_socket(address)?;
+    // Connections inherit them.
+    socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)?;
     let backlog = i32::try_from(places).unwrap_or(LISTEN_BACKLOG);
     listen(socket, address, backlog.clamp(MIN_BACKLOG, LISTEN_BACKLOG))
 }
