--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -10,8 +10,10 @@
 const FILE_DESCRIPTORS: usize = 200;
 /// Fewest connections of each kind.
 const MIN_CONNECTIONS: usize = 4;
+/// Most bytes of answers that their clients have not read, however large the VM is.
+const MAX_ANSWER_BYTES: usize = 24 * 1024 * 1024;
 /// Memory of a process whose settings state none, in bytes.
-pub const DEFAULT_MEMORY_BYTES: usize = 512 * 1024 * 1024;
+pub const DEFAULT_MEMORY_BYTES: usize = 1024 * 1024 * 1024;
 /// Descriptors of a process whose settings state none.
 pub const DEFAULT_DESCRIPTORS: usize = 8_192;
 
@@ -76,7 +78,7 @@
             // could have all.
             requests: requests.min(clients),
             body_bytes: part * 3,
-            answer_bytes: part * 2,
+            answer_bytes: (part * 2).min(MAX_ANSWER_BYTES),
         }
     }
 }
