--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -38,8 +38,8 @@
 pub const UNBUDGETED_BYTES: usize = 16 * 1024;
 /// Bytes of a body after which they are reported as progress of its client.
 const REPORTED_BYTES: usize = 1024;
-/// Part of its length by which a buffer grows beyond what it needs.
-const GROWTH_DIVISOR: usize = 8;
+/// Largest block in which the bytes of a body are held as they come.
+const BLOCK_BYTES: usize = 16 * 1024;
 
 /// The error of a [`Body`] whose sender was dropped before the end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -239,49 +239,82 @@
     Ok(buf.freeze())
 }
 
+/// Bytes of a body as they come. They lie in blocks, since a buffer that grows leaves behind
+/// what it was before, which an allocator may keep.
+struct Blocks<H> {
+    blocks: Vec<Vec<u8>>,
+    len: usize,
+    capacity: usize,
+    hold: H,
+}
+
 /// Bytes that count against a bound until they are dropped.
 struct HeldBytes<H> {
     bytes: Vec<u8>,
-    hold: H,
+    _hold: H,
 }
 
-impl<H> HeldBytes<H>
+impl<H> Blocks<H>
 where
     H: ByteHold,
 {
     fn new(hold: H) -> Self {
         Self {
-            bytes: Vec::new(),
+            blocks: Vec::new(),
+            len: 0,
+            capacity: 0,
             hold,
         }
     }
 
     /// Adds bytes, which with those before are at most `limit`.
-    async fn push(&mut self, data: &[u8], limit: usize) -> Result<(), ReadWithinError> {
-        let needed = self.bytes.len() + data.len();
-        if needed > limit {
+    async fn push(&mut self, mut data: &[u8], limit: usize) -> Result<(), ReadWithinError> {
+        if self.len + data.len() > limit {
             return Err(ReadBodyError::TooLarge { limit }.into());
         }
-        if needed > self.bytes.capacity() {
-            // Doubling would hold up to twice of what is counted.
-            let capacity = match needed + needed / GROWTH_DIVISOR {
-                grown if needed <= UNBUDGETED_BYTES => grown.min(UNBUDGETED_BYTES),
-                grown => grown,
-            };
-            let counted = capacity.saturating_sub(UNBUDGETED_BYTES);
-            if !self.hold.raise_to(counted).await {
-                return Err(self.no_memory());
+        while !data.is_empty() {
+            let room = self.blocks.last().map_or(0, |b| b.capacity() - b.len());
+            if room == 0 {
+                // Small bodies get small blocks.
+                let block = data.len().max(self.capacity).min(BLOCK_BYTES);
+                let capacity = self.capacity + block;
+                let counted = capacity.saturating_sub(UNBUDGETED_BYTES);
+                if !self.hold.raise_to(counted).await {
+                    return Err(self.no_memory());
+                }
+                self.capacity = capacity;
+                self.blocks.push(Vec::with_capacity(block));
+                continue;
+            }
+            let (now, later) = data.split_at(room.min(data.len()));
+            if let Some(block) = self.blocks.last_mut() {
+                block.extend_from_slice(now);
             }
-            self.bytes.reserve_exact(capacity - self.bytes.len());
+            self.len += now.len();
+            data = later;
         }
-        self.bytes.extend_from_slice(data);
         Ok(())
     }
 
     fn no_memory(&self) -> ReadWithinError {
-        ReadWithinError::NoMemory {
-            held: self.bytes.len(),
-        }
+        ReadWithinError::NoMemory { held: self.len }
+    }
+
+    /// Returns the whole body.
+    fn finish(mut self) -> Bytes {
+        let bytes = if self.blocks.len() == 1 {
+            self.blocks.pop().unwrap_or_default()
+        } else {
+            let mut bytes = Vec::with_capacity(self.len);
+            for block in self.blocks {
+                bytes.extend_from_slice(&block);
+            }
+            bytes
+        };
+        Bytes::from_owner(HeldBytes {
+            bytes,
+            _hold: self.hold,
+        })
     }
 }
 
@@ -307,14 +340,14 @@
     if body.size_hint().lower() > limit as u64 {
         return Err(ReadBodyError::TooLarge { limit }.into());
     }
-    let mut buf = HeldBytes::new(hold);
+    let mut buf = Blocks::new(hold);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| ReadBodyError::Truncated(e.to_string()))?;
         if let Ok(data) = frame.into_data() {
             buf.push(&data, limit).await?;
         }
     }
-    Ok(Bytes::from_owner(buf))
+    Ok(buf.finish())
 }
 
 /// Reads the body of a client's request, of at most `limit` bytes, until all of it has come
@@ -340,7 +373,7 @@
     if !client.may_fit(Pool::Bodies, announced) {
         return Err(ReadWithinError::NoMemory { held: 0 });
     }
-    let mut held = HeldBytes::new(client.share(Pool::Bodies));
+    let mut held = Blocks::new(client.share(Pool::Bodies));
     let mut evicted = pin!(client.evicted());
     let (mut small_chunks, mut unreported) = (0, 0);
     loop {
@@ -379,7 +412,7 @@
         }
     }
     client.begin_waiting().map_err(|_gone| held.no_memory())?;
-    Ok(Bytes::from_owner(held))
+    Ok(held.finish())
 }
 
 /// Reads and drops up to [`DISCARD_BYTES`] more: a client whose connection is
