--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -6,11 +6,15 @@
 use async_io::Timer;
 use async_net::TcpListener;
 use async_net::TcpStream;
+use briarhall_net::Admission;
+use briarhall_net::Admitted;
 use briarhall_net::Executor;
 use briarhall_net::timeout;
+use briarhall_policy::holdings::Pool;
 use briarhall_policy::suspects::SuspicionNotice;
 use briarhall_types::Digest;
 use futures::StreamExt;
+use futures_lite::future;
 use tarpc::context::Context;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
@@ -78,17 +82,24 @@
 }
 
 /// Accepts connections of other routers and answers their calls with `handler`.
-/// Never returns.
-pub async fn serve_mesh<H>(listener: TcpListener, secret: Digest, executor: Executor, handler: H)
-where
+/// Never returns. A connection for which `admission` has no place is closed.
+pub async fn serve_mesh<H>(
+    listener: TcpListener,
+    secret: Digest,
+    executor: Executor,
+    admission: Admission,
+    handler: H,
+) where
     H: MeshHandler,
 {
     loop {
         match listener.accept().await {
-            Ok((stream, _peer)) => {
-                let executor = executor.clone();
-                let handler = handler.clone();
-                let connection = serve_connection(stream, secret, executor.clone(), handler);
+            Ok((stream, peer)) => {
+                let Ok(admitted) = admission.connect(Pool::Peers, peer.ip()).await else {
+                    continue;
+                };
+                let connection =
+                    serve_connection(stream, secret, admitted, executor.clone(), handler.clone());
                 executor.detach(connection);
             }
             Err(e) => {
@@ -99,15 +110,30 @@
     }
 }
 
-async fn serve_connection<H>(mut stream: TcpStream, secret: Digest, executor: Executor, handler: H)
-where
+async fn serve_connection<H>(
+    mut stream: TcpStream,
+    secret: Digest,
+    admitted: Admitted,
+    executor: Executor,
+    handler: H,
+) where
     H: MeshHandler,
 {
     // A failure only makes answers slower.
     let _ignored = stream.set_nodelay(true);
-    let has_secret = timeout(SECRET_TIMEOUT, received_secret(&mut stream, &secret)).await;
+    let client = &admitted.client;
+    let secret = timeout(SECRET_TIMEOUT, received_secret(&mut stream, &secret));
+    let evicted = async {
+        client.evicted().await;
+        Ok(false)
+    };
+    let has_secret = future::or(secret, evicted).await;
     if has_secret != Ok(true) {
-        log::warn!("closed a connection from a peer that did not send the mesh secret");
+        log::debug!("closed a connection from a peer that did not send the mesh secret");
+        return;
+    }
+    // From here on it is a router, which does not go for others.
+    if client.begin_waiting().is_err() {
         return;
     }
     let channel = BaseChannel::with_defaults(framed(stream));
--- a/crates/router/src/operator/apply.rs
+++ b/crates/router/src/operator/apply.rs
@@ -78,7 +78,7 @@
         req: Request<Incoming>,
     ) -> Result<Response<Body>, Problem> {
         let began = Instant::now();
-        let body = request::body(req).await?;
+        let (body, _hold) = request::body(req).await?;
         let call = serde_json::from_slice::<ApplyCall>(&body)
             .map_err(|e| request::bad_request(format!("the change is not understood: {e}")))?;
         check(customer, &call.contract)?;
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -19,17 +19,20 @@
 use briarhall_endpoint::EngineClient;
 use briarhall_endpoint::ServiceClient;
 use briarhall_mesh::serve_mesh;
+use briarhall_net::Admission;
 use briarhall_net::Executor;
 use briarhall_net::HttpClient;
 use briarhall_net::LogTarget;
 use briarhall_net::Logging;
 use briarhall_net::Metrics;
-use briarhall_net::ServerOptions;
+use briarhall_net::SessionLimits;
+use briarhall_net::Sessions;
 use briarhall_net::Threads;
 use briarhall_net::TimerRuntime;
-use briarhall_net::bind;
-use briarhall_net::serve;
+use briarhall_net::bind_bounded;
 use briarhall_objects::HttpObjectApi;
+use briarhall_policy::capacity::Capacity;
+use briarhall_policy::holdings::Pool;
 use briarhall_settings::RouterSettings;
 use futures_lite::StreamExt;
 use futures_lite::future;
@@ -53,6 +56,15 @@
 /// Time for the last answers to be written to their connections.
 const FLUSH_DELAY: Duration = Duration::from_millis(200);
 
+/// Limits on connections of callers and operators.
+const SESSION_LIMITS: SessionLimits = SessionLimits {
+    max_header_bytes: 64 * 1024,
+    header_timeout: Duration::from_secs(10),
+    idle_timeout: Duration::from_mins(1),
+};
+/// Processor time of each traffic thread, in thousandths of a core.
+const THREAD_MILLICORES: u32 = 1_000;
+
 struct Listeners {
     callers: TcpListener,
     operators: TcpListener,
@@ -61,10 +73,11 @@
 
 impl Listeners {
     fn open(settings: &RouterSettings) -> Result<Self, StartError> {
+        let places = Capacity::of(settings.process_limits);
         Ok(Self {
-            callers: open("callers", settings.callers)?,
-            operators: open("operators", settings.operators)?,
-            mesh: open("mesh", settings.mesh)?,
+            callers: open("callers", settings.callers, places.clients)?,
+            operators: open("operators", settings.operators, places.directory)?,
+            mesh: open("mesh", settings.mesh, places.peers)?,
         })
     }
 }
@@ -190,18 +203,26 @@
     let mesh = MeshService {
         control: cx.control.clone(),
     };
-    let options = ServerOptions::default();
+    let admission = Admission::new(
+        Capacity::of(settings.process_limits),
+        THREAD_MILLICORES,
+        traffic.metrics.clone(),
+    );
+    let sessions = |executor: &Executor, pool| {
+        Sessions::of_process(executor.clone(), SESSION_LIMITS, admission.clone(), pool)
+    };
     let executor = &cx.executor;
-    executor.detach(serve(
-        listeners.operators,
+    let serving = sessions(executor, Pool::Directory).serve(listeners.operators, operators);
+    executor.detach(serving);
+    executor.detach(serve_mesh(
+        listeners.mesh,
+        settings.mesh_secret,
         executor.clone(),
-        options,
-        operators,
+        admission.clone(),
+        mesh,
     ));
-    let secret = settings.mesh_secret;
-    executor.detach(serve_mesh(listeners.mesh, secret, executor.clone(), mesh));
     let executor = traffic.executor.clone();
-    executor.detach(serve(listeners.callers, executor.clone(), options, traffic));
+    executor.detach(sessions(&executor, Pool::Clients).serve(listeners.callers, traffic));
     drain_rx
 }
 
@@ -230,8 +251,12 @@
     log::info!("stopped");
 }
 
-fn open(field: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    bind(address).map_err(|source| StartError::Bind {
+fn open(
+    field: &'static str,
+    address: SocketAddr,
+    places: usize,
+) -> Result<TcpListener, StartError> {
+    bind_bounded(address, places).map_err(|source| StartError::Bind {
         field,
         address,
         source,
--- a/crates/router/src/traffic/completions.rs
+++ b/crates/router/src/traffic/completions.rs
@@ -92,7 +92,7 @@
     ) -> Result<Response<Body>, Problem> {
         let key = request::key(req.headers())?;
         let repeat_policy = request::repeat_policy(req.headers())?;
-        let body = request::body(req).await?;
+        let (body, hold) = request::body(req).await?;
         let req = request::completion(form, &body)?;
         let content = Digest::of_parts(&[req.model.as_bytes(), req.prompt.as_bytes()]);
         let call = AdmitCall {
@@ -120,6 +120,7 @@
             traffic
                 .finish_job(id, job, repeat_policy, writer, arrived)
                 .await;
+            drop(hold);
         });
         let no_answer = || Problem::unknown(500, "internal", "the request ended without an answer");
         head.recv().await.map_err(|_closed| no_answer())
--- a/crates/router/src/traffic/request.rs
+++ b/crates/router/src/traffic/request.rs
@@ -1,10 +1,15 @@
 //! Reads and checks callers' requests.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use briarhall_net::Client;
 use briarhall_net::ReadBodyError;
-use briarhall_net::read_limited;
+use briarhall_net::ReadWithinError;
+use briarhall_net::Share;
+use briarhall_net::read_from_client;
 use briarhall_net::timeout;
+use briarhall_policy::holdings::Pool;
 use briarhall_types::Digest;
 use briarhall_types::Problem;
 use briarhall_types::estimate_tokens;
@@ -18,6 +23,9 @@
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Copies of a body that exist while its request runs: as text, and as it is sent.
+const BODY_COPIES: usize = 2;
+const CROWDED_RETRY_AFTER: Duration = Duration::from_secs(1);
 const DEFAULT_MAX_TOKENS: u64 = 16;
 const MAX_MAX_TOKENS: u64 = 32_768;
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
@@ -129,27 +137,54 @@
     })
 }
 
+/// What a request holds of the process until it has ended, whether its caller is still there
+/// or not.
+#[derive(Debug)]
+pub struct RequestHold {
+    _place: Share,
+    _copies: Share,
+}
+
 /// Reads a body.
 ///
 /// # Errors
 ///
-/// Returns a problem when it is too long or cut short.
-pub async fn body(req: Request<Incoming>) -> Result<Bytes, Problem> {
-    let reading = read_limited(req.into_body(), MAX_BODY_BYTES);
+/// Returns a problem when it is too long or cut short, or when callers together hold too much
+/// of the process.
+pub async fn body(mut req: Request<Incoming>) -> Result<(Bytes, RequestHold), Problem> {
+    // Sessions add their client to each request.
+    let client = req.extensions_mut().remove::<Arc<Client>>();
+    let client = client.ok_or_else(crowded)?;
+    let place = client.take(Pool::Requests, 1).await;
+    let place = place.map_err(|_no_room| crowded())?;
+    let reading = read_from_client(req.into_body(), MAX_BODY_BYTES, &client);
     let read = timeout(BODY_TIMEOUT, reading).await;
     let read = read.map_err(|_e| {
         let detail = "the body did not arrive in time; send it again";
         Problem::not_run(408, "body-timeout", detail)
     })?;
-    read.map_err(|e| match e {
-        ReadBodyError::TooLarge { limit } => {
+    let body = read.map_err(|e| match e {
+        ReadWithinError::Body(ReadBodyError::TooLarge { limit }) => {
             let detail = format!("the body is longer than {limit} bytes; send a shorter one");
             Problem::not_run(413, "body-too-large", detail)
         }
-        ReadBodyError::Truncated(reason) => {
+        ReadWithinError::Body(ReadBodyError::Truncated(reason)) => {
             bad_request(format!("the body was cut short: {reason}"))
         }
-    })
+        ReadWithinError::NoMemory { .. } => crowded(),
+    })?;
+    let copies = body.len().saturating_mul(BODY_COPIES);
+    let copies = client.take(Pool::Bodies, copies).await;
+    let hold = RequestHold {
+        _place: place,
+        _copies: copies.map_err(|_no_room| crowded())?,
+    };
+    Ok((body, hold))
+}
+
+fn crowded() -> Problem {
+    let detail = "callers together hold too much of this router; send the request again later";
+    Problem::not_run(503, "crowded", detail).retry_after(CROWDED_RETRY_AFTER)
 }
 
 /// Parses a completion request.
--- a/crates/router/src/traffic/services.rs
+++ b/crates/router/src/traffic/services.rs
@@ -81,7 +81,7 @@
         let content_type = content_type
             .and_then(|v| v.to_str().ok())
             .map(str::to_owned);
-        let body = request::body(req).await?;
+        let (body, hold) = request::body(req).await?;
         let content = Digest::of_parts(&[
             method.as_str().as_bytes(),
             service.as_bytes(),
@@ -118,6 +118,7 @@
         let run = async move {
             let reply = Box::pin(traffic.finish_service(job, repeat_policy, content, arrived));
             let _gone = tx.try_send(reply.await);
+            drop(hold);
         };
         self.executor.detach(run);
         let no_answer = || Problem::unknown(500, "internal", "the request ended without an answer");
