--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -162,7 +162,9 @@
             Err(e) => return record_unsendable(job, id, e, attempts),
         };
         let address = placement.replica.address;
-        let exchange = self.client.start(address, req, CONNECT_TIMEOUT);
+        let exchange = self
+            .client
+            .start(address, req, CONNECT_TIMEOUT, job.reading());
         let predicted = engine::predicted_time(placement.predicted_ms);
         let exchange = await_head(&self.shared, opened_at, predicted, exchange);
         let limit = patience.limit();
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -142,9 +142,12 @@
             Ok(req) => req,
             Err(e) => return record_unsendable(job, peer, e, attempts),
         };
-        let exchange = self
-            .client
-            .start(placement.replica.address, req, CONNECT_TIMEOUT);
+        let exchange = self.client.start(
+            placement.replica.address,
+            req,
+            CONNECT_TIMEOUT,
+            job.reading(),
+        );
         let exchange = match patience.wait(exchange).await {
             Ok(Ok(exchange)) => exchange,
             Ok(Err(e)) if e.failure_point() == FailurePoint::BeforeSend => {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use briarhall_net::Client;
+use briarhall_net::Reading;
 use briarhall_net::Share;
 use briarhall_policy::crashes::Fingerprint;
 use briarhall_policy::crashing_parts::PartDigest;
@@ -123,6 +124,15 @@
 }
 
 impl Job {
+    /// Returns how its answer is read.
+    #[must_use]
+    pub fn reading(&self) -> Reading {
+        match self.route.kind {
+            RouteKind::Streaming => Reading::Stream,
+            _ => Reading::Whole,
+        }
+    }
+
     /// Returns the time left until the deadline.
     #[must_use]
     pub fn time_left(&self) -> Duration {
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -242,7 +242,7 @@
 /// Bytes of a body as they come. They lie in blocks, since a buffer that grows leaves behind
 /// what it was before, which an allocator may keep.
 struct Blocks<H> {
-    blocks: Vec<Vec<u8>>,
+    parts: Vec<Vec<u8>>,
     len: usize,
     capacity: usize,
     hold: H,
@@ -260,7 +260,7 @@
 {
     fn new(hold: H) -> Self {
         Self {
-            blocks: Vec::new(),
+            parts: Vec::new(),
             len: 0,
             capacity: 0,
             hold,
@@ -273,7 +273,7 @@
             return Err(ReadBodyError::TooLarge { limit }.into());
         }
         while !data.is_empty() {
-            let room = self.blocks.last().map_or(0, |b| b.capacity() - b.len());
+            let room = self.parts.last().map_or(0, |b| b.capacity() - b.len());
             if room == 0 {
                 // Small bodies get small blocks.
                 let block = data.len().max(self.capacity).min(BLOCK_BYTES);
@@ -283,11 +283,11 @@
                     return Err(self.no_memory());
                 }
                 self.capacity = capacity;
-                self.blocks.push(Vec::with_capacity(block));
+                self.parts.push(Vec::with_capacity(block));
                 continue;
             }
             let (now, later) = data.split_at(room.min(data.len()));
-            if let Some(block) = self.blocks.last_mut() {
+            if let Some(block) = self.parts.last_mut() {
                 block.extend_from_slice(now);
             }
             self.len += now.len();
@@ -302,11 +302,11 @@
 
     /// Returns the whole body.
     fn finish(mut self) -> Bytes {
-        let bytes = if self.blocks.len() == 1 {
-            self.blocks.pop().unwrap_or_default()
+        let bytes = if self.parts.len() == 1 {
+            self.parts.pop().unwrap_or_default()
         } else {
             let mut bytes = Vec::with_capacity(self.len);
-            for block in self.blocks {
+            for block in self.parts {
                 bytes.extend_from_slice(&block);
             }
             bytes
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -219,6 +219,15 @@
 /// Drives a connection; dropping it closes the connection.
 pub type Connection = Task<()>;
 
+/// How the body of an answer is read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reading {
+    /// As fast as it comes.
+    Whole,
+    /// As fast as a client reads what is passed on.
+    Stream,
+}
+
 /// An answer whose connection lives as long as this does. Dropping it closes
 /// the connection, so that the other end stops working on the request.
 #[derive(Debug)]
@@ -276,6 +285,7 @@
         address: SocketAddr,
         req: Request<Body>,
         connect_limit: Duration,
+        reading: Reading,
     ) -> Result<Exchange, HttpError> {
         let broken = |e: hyper::Error| HttpError::Broken {
             address,
@@ -283,7 +293,7 @@
         };
         let stream = connect(address, connect_limit).await?;
         enable_keepalive(&stream);
-        bound_buffers(&stream);
+        bound_buffers(&stream, reading);
         let arrived = HeadArrived::default();
         let stream = HeadLimit::new(stream, arrived.clone());
         let (mut sender, conn) = http1::Builder::new()
@@ -380,13 +390,15 @@
     }
 }
 
-/// Bounds what waits in the system's buffers of a connection, which otherwise grow to
-/// megabytes while a replica or a client reads nothing.
-fn bound_buffers(stream: &TcpStream) {
+/// Bounds what waits in the system's buffers of an exchange, which otherwise grow to
+/// megabytes: what a silent replica does not read, and, of a stream, what its client does not.
+/// Whole answers are read as they come.
+fn bound_buffers(stream: &TcpStream, reading: Reading) {
     let socket = SockRef::from(stream);
-    let set = socket
-        .set_recv_buffer_size(EXCHANGE_SOCKET_BYTES)
-        .and_then(|()| socket.set_send_buffer_size(EXCHANGE_SOCKET_BYTES));
+    let mut set = socket.set_send_buffer_size(EXCHANGE_SOCKET_BYTES);
+    if reading == Reading::Stream {
+        set = set.and_then(|()| socket.set_recv_buffer_size(EXCHANGE_SOCKET_BYTES));
+    }
     if let Err(e) = set {
         log::debug!(error = e.to_string().as_str(); "cannot bound the buffers of a connection");
     }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -61,7 +61,10 @@
 
 /// Bytes in the buffers of a client's connection. Without a bound the system lets them grow
 /// to megabytes for each.
-const SOCKET_BUFFER_BYTES: usize = 16 * 1024;
+pub(crate) const SOCKET_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Largest TCP segment, that of an Ethernet frame.
+const MAX_SEGMENT_BYTES: u32 = 1_460;
 
 /// Opens a listening socket.
 ///
@@ -81,12 +84,22 @@
 pub fn bind_bounded(address: SocketAddr, places: usize) -> io::Result<TcpListener> {
     let socket = listening_socket(address)?;
     // Connections inherit them.
-    socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
-    socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)?;
+    bound_buffers(&socket, SOCKET_BUFFER_BYTES)?;
     let backlog = i32::try_from(places).unwrap_or(LISTEN_BACKLOG);
     listen(socket, address, backlog.clamp(MIN_BACKLOG, LISTEN_BACKLOG))
 }
 
+/// Bounds the bytes in the system's buffers of a connection that is not open yet. With
+/// segments as large as the buffers, as on loopback, both ends would wait for timers.
+fn bound_buffers(socket: &Socket, bytes: usize) -> io::Result<()> {
+    socket.set_recv_buffer_size(bytes)?;
+    socket.set_send_buffer_size(bytes)?;
+    if let Err(e) = socket.set_tcp_mss(MAX_SEGMENT_BYTES) {
+        log::debug!(error = e.to_string().as_str(); "cannot bound the segments of a connection");
+    }
+    Ok(())
+}
+
 fn listening_socket(address: SocketAddr) -> io::Result<Socket> {
     let domain = Domain::for_address(address);
     let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
--- a/crates/net/src/sessions.rs
+++ b/crates/net/src/sessions.rs
@@ -47,10 +47,12 @@
 use crate::Admitted;
 use crate::Body;
 use crate::BodyError;
+use crate::ByteHold;
 use crate::Client;
 use crate::Executor;
 use crate::Handler;
 use crate::Share;
+use crate::server::SOCKET_BUFFER_BYTES;
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time that a new connection has for its first request during shutdown: some
@@ -63,6 +65,8 @@
 const EVICTED_ANSWER_TIME: Duration = Duration::from_millis(500);
 /// Longest answer that counts as a part of its connection.
 const UNCOUNTED_ANSWER_BYTES: u64 = 4 * 1024;
+/// Most bytes of an answer that the system takes at once.
+const MAX_SEND_BUFFER_BYTES: usize = 2 * 1024 * 1024;
 /// The smallest buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -144,6 +148,8 @@
     activity: Mutex<Activity>,
     busy: Arc<AtomicUsize>,
     client: Arc<Client>,
+    /// Bytes by which the system's buffer was raised for long answers.
+    send_buffer: Mutex<Option<Share>>,
 }
 
 impl ConnectionState {
@@ -152,9 +158,27 @@
             activity: Mutex::new(Activity::Idle(Instant::now())),
             busy: Arc::clone(busy),
             client,
+            send_buffer: Mutex::new(None),
         }
     }
 
+    fn take_send_buffer(&self) -> Share {
+        let mut buffer = self
+            .send_buffer
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let held = buffer.take();
+        held.unwrap_or_else(|| self.client.share(Pool::Answers))
+    }
+
+    fn put_send_buffer(&self, share: Share) {
+        let mut buffer = self
+            .send_buffer
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *buffer = Some(share);
+    }
+
     fn activity(&self) -> Activity {
         *self.activity.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -374,6 +398,7 @@
                 }
                 if reply.body().is_in_memory() {
                     guard.deliver(false);
+                    raise_send_buffer(socket, &reply, &guard.state).await;
                 } else if is_1_0 {
                     // Also if this process ends before the answer does.
                     set_reset_on_close(socket, true, peer);
@@ -487,6 +512,24 @@
     }
 }
 
+/// Raises the system's buffer of a connection for a long answer, so that it goes on while the
+/// process is busy or ends. It counts like the answer itself, as long as the connection lasts.
+async fn raise_send_buffer(socket: &TcpStream, reply: &Response<Body>, state: &ConnectionState) {
+    let bytes = http_body::Body::size_hint(reply.body()).lower();
+    let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+    let bytes = bytes.min(MAX_SEND_BUFFER_BYTES);
+    if bytes <= SOCKET_BUFFER_BYTES {
+        return;
+    }
+    let mut share = state.take_send_buffer();
+    if share.raise_to(bytes).await
+        && let Err(e) = SockRef::from(socket).set_send_buffer_size(bytes)
+    {
+        log::debug!(error = e.to_string().as_str(); "cannot raise the buffer of a connection");
+    }
+    state.put_send_buffer(share);
+}
+
 enum Ended {
     Served(hyper::Result<()>),
     TimedOut,
