--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,9 +13,11 @@
 use async_io::Timer;
 use briarhall_net::Body;
 use briarhall_net::Call;
+use briarhall_net::Client;
 use briarhall_net::Handler;
 use briarhall_net::HttpClient;
 use briarhall_net::HttpError;
+use briarhall_net::counted;
 use briarhall_net::json;
 use briarhall_net::status;
 use briarhall_policy::peer_reads::PeerReads;
@@ -82,8 +84,21 @@
         if let Some(max_attempts) = detour::max_attempts(req.headers()) {
             return self.requests.handle_detour(req, max_attempts).await;
         }
+        let reply = self.list(req.uri().path());
+        // Sessions add their client to each request.
+        let Some(client) = req.extensions().get::<Arc<Client>>() else {
+            return reply;
+        };
+        let counted = counted(reply, client).await;
+        counted.unwrap_or_else(|_no_room| status(StatusCode::SERVICE_UNAVAILABLE))
+    }
+}
+
+impl<W> RelayService<W> {
+    /// Returns a list that another gateway asks for.
+    fn list(&self, path: &str) -> Response<Body> {
         let state = self.shared.state();
-        match req.uri().path() {
+        match path {
             CONFIGURATION_PATH => match &state.current_configuration {
                 Some(current) => json(
                     StatusCode::OK,
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -18,9 +18,11 @@
 use http_body::Frame;
 use http_body::SizeHint;
 use http_body_util::BodyExt;
+use hyper::Response;
 use thiserror::Error;
 
 use crate::admission::Client;
+use crate::admission::NoRoom;
 use crate::byte_budget::ByteHold;
 use crate::chunk_pace::BATCH_CHUNKS;
 use crate::chunk_pace::SMALL_CHUNK_BYTES;
@@ -33,6 +35,8 @@
 /// Bytes that are still read and dropped of a body that is too long.
 const DISCARD_BYTES: usize = 64 * 1024 * 1024;
 
+/// Longest answer that counts as a part of its connection.
+const UNCOUNTED_ANSWER_BYTES: usize = 4 * 1024;
 /// Bytes of each body that count against no budget: small ones are read whatever others
 /// hold.
 pub const UNBUDGETED_BYTES: usize = 16 * 1024;
@@ -249,8 +253,8 @@
 }
 
 /// Bytes that count against a bound until they are dropped.
-struct HeldBytes<H> {
-    bytes: Vec<u8>,
+struct HeldBytes<B, H> {
+    bytes: B,
     _hold: H,
 }
 
@@ -318,9 +322,12 @@
     }
 }
 
-impl<H> AsRef<[u8]> for HeldBytes<H> {
+impl<B, H> AsRef<[u8]> for HeldBytes<B, H>
+where
+    B: AsRef<[u8]>,
+{
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.bytes.as_ref()
     }
 }
 
@@ -415,6 +422,29 @@
     Ok(held.finish())
 }
 
+/// Counts the bytes of an answer that is complete in memory until its client has them.
+///
+/// # Errors
+///
+/// Returns an error when answers that nobody reads hold all there is.
+pub async fn counted(
+    mut reply: Response<Body>,
+    client: &Arc<Client>,
+) -> Result<Response<Body>, NoRoom> {
+    let Body::Full(Some(bytes)) = reply.body_mut() else {
+        return Ok(reply);
+    };
+    if bytes.len() <= UNCOUNTED_ANSWER_BYTES {
+        return Ok(reply);
+    }
+    let share = client.take(Pool::Answers, bytes.len()).await?;
+    *bytes = Bytes::from_owner(HeldBytes {
+        bytes: std::mem::take(bytes),
+        _hold: share,
+    });
+    Ok(reply)
+}
+
 /// Reads and drops up to [`DISCARD_BYTES`] more: a client whose connection is
 /// closed while it still sends may never read the answer.
 async fn discard<B>(mut body: B)
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -31,6 +31,7 @@
 pub use body::CHANNEL_FRAMES;
 pub use body::ReadBodyError;
 pub use body::ReadWithinError;
+pub use body::counted;
 pub use body::read_from_client;
 pub use body::read_limited;
 pub use body::read_within;
--- a/crates/net/src/sessions.rs
+++ b/crates/net/src/sessions.rs
@@ -34,7 +34,6 @@
 use http_body::SizeHint;
 use hyper::Request;
 use hyper::Response;
-use hyper::StatusCode;
 use hyper::Version;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -52,6 +51,7 @@
 use crate::Executor;
 use crate::Handler;
 use crate::Share;
+use crate::counted;
 use crate::server::SOCKET_BUFFER_BYTES;
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -63,8 +63,6 @@
 const HANDSHAKE_TIME: Duration = Duration::from_millis(50);
 /// Time for a client that has to go to be told so.
 const EVICTED_ANSWER_TIME: Duration = Duration::from_millis(500);
-/// Longest answer that counts as a part of its connection.
-const UNCOUNTED_ANSWER_BYTES: u64 = 4 * 1024;
 /// Most bytes of an answer that the system takes at once.
 const MAX_SEND_BUFFER_BYTES: usize = 2 * 1024 * 1024;
 /// The smallest buffer that hyper accepts.
@@ -89,7 +87,7 @@
     /// Admits connections, which count in this pool.
     admission: Admission,
     pool: Pool,
-    /// Whether the handler leaves it to the sessions to count the bytes of answers.
+    /// Whether the sessions count the bytes of answers, which is left to the handler otherwise.
     counts_answers: bool,
     /// Closed when connections are to be shut down.
     shutdown: Receiver<()>,
@@ -269,10 +267,11 @@
     }
 
     /// Creates sessions of another listener, which run as long as the process. Their clients
-    /// too are waited for by [`Self::are_idle`].
+    /// too are waited for by [`Self::are_idle`], and the handler counts answers.
     #[must_use]
     pub fn of_other_listener(&self, limits: SessionLimits, pool: Pool) -> Self {
         Self {
+            counts_answers: false,
             busy: Arc::clone(&self.busy),
             ..self.of_side_listener(limits, pool)
         }
@@ -392,9 +391,9 @@
                 state.set(Activity::Request);
                 let guard = RequestGuard { state };
                 let mut reply = handler.handle(req, peer).await;
-                let mut share = None;
                 if counts_answers {
-                    (reply, share) = counted(reply, &client).await;
+                    // What was answered may have run, so it is no refusal.
+                    reply = counted(reply, &client).await.map_err(io::Error::other)?;
                 }
                 if reply.body().is_in_memory() {
                     guard.deliver(false);
@@ -406,7 +405,6 @@
                 Ok::<_, io::Error>(reply.map(|body| GuardedBody {
                     body,
                     _guard: guard,
-                    _share: share,
                 }))
             })
         });
@@ -499,19 +497,6 @@
     }
 }
 
-/// Counts the bytes of an answer that is complete in memory until its client has them.
-async fn counted(reply: Response<Body>, client: &Arc<Client>) -> (Response<Body>, Option<Share>) {
-    let bytes = http_body::Body::size_hint(reply.body()).lower();
-    if bytes <= UNCOUNTED_ANSWER_BYTES {
-        return (reply, None);
-    }
-    let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
-    match client.take(Pool::Answers, bytes).await {
-        Ok(share) => (reply, Some(share)),
-        Err(_no_room) => (crate::status(StatusCode::SERVICE_UNAVAILABLE), None),
-    }
-}
-
 /// Raises the system's buffer of a connection for a long answer, so that it goes on while the
 /// process is busy or ends. It counts like the answer itself, as long as the connection lasts.
 async fn raise_send_buffer(socket: &TcpStream, reply: &Response<Body>, state: &ConnectionState) {
@@ -573,7 +558,6 @@
 struct GuardedBody {
     body: Body,
     _guard: RequestGuard,
-    _share: Option<Share>,
 }
 
 impl http_body::Body for GuardedBody {
