Logs: how long a read from another gateway took, and how long one was behind

Cause: a late configuration left no trace of whether its news came late, or the read from the gateway that had it. relay_failed named the error and not the time; nothing said that a gateway knew of a newer version and did not get it.

Change: after_ms in relayed and relay_failed; caught_up with behind_ms, from half a second on.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -48,6 +48,8 @@
 /// for its own watch. Those that it reads from have each change at another moment, and
 /// without a pause it would read the whole list from each of them.
 const SERIES_INTERVAL: Duration = Duration::from_millis(300);
+/// Time behind other gateways that is logged.
+const LONG_BEHIND: Duration = Duration::from_millis(500);
 /// Time limit for one read from another gateway.
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -143,12 +145,15 @@
             configuration_from,
             replicas_from,
         } = peers_ahead(&shared, now);
+        log_caught_up("configuration", &configuration, configuration_from, now);
+        log_caught_up("replicas", &replicas, replicas_from, now);
         if configuration.due(configuration_from.is_some(), now)
             && let Some(at) = configuration_from
         {
             let before = shared.state().held_configuration();
+            let began = Instant::now();
             let read = read_configuration(&shared, &client, at).await;
-            log_read("configuration", at, &read);
+            log_read("configuration", at, began, &read);
             let is_new = shared.state().held_configuration() > before;
             configuration.record(is_new, Instant::now());
         }
@@ -156,14 +161,28 @@
             && let Some(at) = replicas_from
         {
             let before = shared.state().replicas.position();
+            let began = Instant::now();
             let read = read_replicas(&shared, &client, at).await;
-            log_read("replicas", at, &read);
+            log_read("replicas", at, began, &read);
             let is_new = shared.state().replicas.position() > before;
             replicas.record(is_new, Instant::now());
         }
     }
 }
 
+/// Logs that this gateway is no longer behind the others, if it was so for long.
+fn log_caught_up(what: &str, reads: &PeerReads, from: Option<SocketAddr>, now: Instant) {
+    let behind = reads.behind_for(now).unwrap_or_default();
+    if from.is_none() && behind >= LONG_BEHIND {
+        let behind_ms = millis(behind);
+        log::info!(event = "caught_up", what, behind_ms; "this gateway was behind others for long");
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns the time that this gateway's own watch has to deliver a change.
 fn own_watch_grace(shared: &Shared) -> Duration {
     shared.settings.min_watch_interval + OWN_WATCH_GRACE
@@ -224,13 +243,16 @@
     Ok(())
 }
 
-fn log_read(what: &str, from: SocketAddr, read: &Result<(), HttpError>) {
+fn log_read(what: &str, from: SocketAddr, began: Instant, read: &Result<(), HttpError>) {
     let from = from.to_string();
+    let after_ms = millis(began.elapsed());
     match read {
-        Ok(()) => log::info!(event = "relayed", what, from = from.as_str(); "read from a peer"),
+        Ok(()) => {
+            log::info!(event = "relayed", what, from = from.as_str(), after_ms; "read from a peer")
+        }
         Err(e) => {
             let error = e.to_string();
-            log::info!(event = "relay_failed", what, from = from.as_str(), error = error.as_str(); "cannot read from a peer");
+            log::info!(event = "relay_failed", what, from = from.as_str(), after_ms, error = error.as_str(); "cannot read from a peer");
         }
     }
 }
--- a/crates/policy/src/peer_reads.rs
+++ b/crates/policy/src/peer_reads.rs
@@ -63,6 +63,13 @@
         grace_over && is_due(self.next) && is_due(self.series_next)
     }
 
+    /// Returns for how long this gateway has known that it is behind, if it is.
+    #[must_use]
+    pub fn behind_for(&self, now: Instant) -> Option<Duration> {
+        let since = self.behind_since?;
+        Some(now.saturating_duration_since(since))
+    }
+
     /// Records the end of a read, and whether it brought something new.
     pub fn record(&mut self, is_new: bool, now: Instant) {
         if is_new {
