Gateway: read the store when other gateways do not pass on what they have

What callers saw: requests refused or run as only an older version of the configuration allows, later than it must be in force (CONFIG), in deployments in which most gateways stand by.

Cause: a gateway that stands by has one source, the reads from others. It takes it for granted that what others have also arrives: as long as enough readers were heard it asked them, whatever came of that, and never the store. Each read of one list also held back those of the other. A gateway that reads the store and whose watch delivers nothing had no other way either.

Change: a gateway that is behind for a sixth of the time in which changes must be in force, beyond what its own watch has to deliver, reads the store itself (cause `behind`) and goes on for 10 s like any that had to. A watch that waits meanwhile is abandoned; a read never is. Each list is read from others by a task of its own, and a read that takes long does not keep it from the store.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_channel::Receiver;
 use async_io::Timer;
 use briarhall_objects::PlatformError;
 use briarhall_policy::resumption::List;
@@ -54,6 +55,9 @@
 pub struct StoreSignals {
     /// The returns of the store from outages.
     pub returns: StoreReturns,
+    /// Receives a message when other gateways have had for long what this one's watch does
+    /// not deliver.
+    pub overdue: Receiver<()>,
     /// Open while this gateway reads the store.
     pub gate: StoreGate,
     /// Is told which lists were read since the last pause of the process.
@@ -76,14 +80,15 @@
 
 /// Keeps an object or list in sync for the life of the process. Changes that come
 /// in series are read no more often than each `min_interval`. What was called before
-/// the store returns from an outage may never be answered, so it is called anew. While
-/// the gate is closed nothing is called, and afterwards it is read completely.
+/// the store returns from an outage may never be answered, so it is called anew, as is a
+/// watch that does not deliver what other gateways have. While the gate is closed nothing is called, and afterwards it is read completely.
 pub async fn follow<F>(followed: F, min_interval: Duration, signals: StoreSignals)
 where
     F: Followed,
 {
     let StoreSignals {
         returns: store_returns,
+        overdue,
         gate,
         pause_guard,
     } = signals;
@@ -108,11 +113,18 @@
             })
         };
         let abandoned = async {
-            future::or(returned(&store_returns), gate.closed()).await;
+            let given_up = future::or(returned(&store_returns), gate.closed());
+            if position.is_some() {
+                future::or(given_up, told(&overdue)).await;
+            } else {
+                given_up.await;
+            }
             None
         };
         let read = future::or(call, abandoned).await;
         if let (None, Some(read)) = (position, &read) {
+            // It brought what was overdue, or the store has to be asked again in any case.
+            let _overdue = overdue.try_recv();
             pause_guard.record_read(F::LIST, read.is_ok(), called_at);
         }
         let call = if position.is_some() { "watch" } else { "read" };
@@ -145,7 +157,7 @@
             }
             None if !gate.is_open() => continue,
             None => {
-                log::info!(event = "call_abandoned", what = F::NAME, call, after_ms; "the store has returned from an outage; reading again");
+                log::info!(event = "call_abandoned", what = F::NAME, call, after_ms; "a watch may deliver nothing more; reading again");
                 position = None;
                 backoff = INITIAL_BACKOFF;
                 continue;
@@ -158,7 +170,8 @@
             (backoff * 2).min(max_backoff)
         };
         let at_once = async {
-            future::or(returned(&store_returns), gate.closed()).await;
+            let called = future::or(returned(&store_returns), gate.closed());
+            future::or(called, told(&overdue)).await;
             INITIAL_BACKOFF
         };
         backoff = future::or(delay, at_once).await;
@@ -167,8 +180,13 @@
 
 /// Waits until the store has returned from an outage.
 async fn returned(store_returns: &StoreReturns) {
-    if store_returns.recv().await.is_err() {
-        // Nothing checks the store any more.
+    told(store_returns).await;
+}
+
+/// Waits for a message.
+async fn told(messages: &Receiver<()>) {
+    if messages.recv().await.is_err() {
+        // Nothing sends any more.
         future::pending::<()>().await;
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_channel::Sender;
 use async_io::Timer;
 use briarhall_net::Body;
 use briarhall_net::Call;
@@ -21,20 +22,26 @@
 use briarhall_net::json;
 use briarhall_net::status;
 use briarhall_policy::peer_reads::PeerReads;
+use briarhall_policy::peers::HeldConfiguration;
+use briarhall_policy::peers::Presence;
 use briarhall_types::Configuration;
 use briarhall_types::ReplicaEntry;
 use briarhall_types::ReplicaId;
 use briarhall_types::StorePosition;
+use futures_lite::future;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use rand::Rng;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::client_request::ClientRequests;
 use crate::detour;
 use crate::state::Shared;
+use crate::state::State;
 use crate::wire::Wire;
 
 const CONFIGURATION_PATH: &str = "/configuration";
@@ -55,14 +62,14 @@
 
 /// The configuration as gateways send it to each other.
 #[derive(Debug, Serialize, Deserialize)]
-struct RelayedConfiguration {
+pub struct RelayedConfiguration {
     position: StorePosition,
     configuration: Arc<Configuration>,
 }
 
 /// The list of replicas as gateways send it to each other.
 #[derive(Debug, Serialize, Deserialize)]
-struct RelayedReplicas {
+pub struct RelayedReplicas {
     position: StorePosition,
     entries: Vec<ReplicaEntry>,
     lapsed: Vec<ReplicaId>,
@@ -125,49 +132,164 @@
     }
 }
 
-/// Reads newer objects from other gateways when this gateway's own watch does
-/// not deliver them.
-pub async fn catch_up(shared: Arc<Shared>, client: HttpClient) {
-    let mut configuration = PeerReads::new(own_watch_grace(&shared));
-    let mut replicas = configuration;
+/// A list that gateways read from each other.
+pub trait Relayed: Send + Sync + 'static {
+    /// Its name in logs.
+    const NAME: &'static str;
+    /// The path that gateways serve it at.
+    const PATH: &'static str;
+    /// How far a gateway has it.
+    type Position: PartialOrd + Send;
+    /// The document that gateways send.
+    type Document: DeserializeOwned + Send;
+
+    /// Returns how far this gateway has it.
+    fn held(state: &State) -> Self::Position;
+
+    /// Returns a gateway that has it further than this one, if there is one.
+    fn ahead<'a, R>(
+        state: &'a State,
+        zone: &str,
+        now: Instant,
+        rng: &mut R,
+    ) -> Option<&'a Presence>
+    where
+        R: Rng;
+
+    /// Takes over what another gateway has sent.
+    fn apply(shared: &Shared, document: Self::Document);
+}
+
+/// The configuration.
+#[derive(Debug)]
+pub struct TheConfiguration;
+
+impl Relayed for TheConfiguration {
+    const NAME: &'static str = "configuration";
+    const PATH: &'static str = CONFIGURATION_PATH;
+    type Position = HeldConfiguration;
+    type Document = RelayedConfiguration;
+
+    fn held(state: &State) -> HeldConfiguration {
+        state.held_configuration()
+    }
+
+    fn ahead<'a, R>(state: &'a State, zone: &str, now: Instant, rng: &mut R) -> Option<&'a Presence>
+    where
+        R: Rng,
+    {
+        let held = state.held_configuration();
+        state.peers.newer_configuration(held, zone, now, rng)
+    }
+
+    fn apply(shared: &Shared, document: RelayedConfiguration) {
+        let configuration = Arc::unwrap_or_clone(document.configuration);
+        shared.apply_configuration(configuration, document.position, "peer");
+    }
+}
+
+/// The list of replicas.
+#[derive(Debug)]
+pub struct TheReplicas;
+
+impl Relayed for TheReplicas {
+    const NAME: &'static str = "replicas";
+    const PATH: &'static str = REPLICAS_PATH;
+    type Position = StorePosition;
+    type Document = RelayedReplicas;
+
+    fn held(state: &State) -> StorePosition {
+        state.replicas.position()
+    }
+
+    fn ahead<'a, R>(state: &'a State, zone: &str, now: Instant, rng: &mut R) -> Option<&'a Presence>
+    where
+        R: Rng,
+    {
+        let held = state.replicas.position();
+        state.peers.newer_replicas(held, zone, now, rng)
+    }
+
+    fn apply(shared: &Shared, document: RelayedReplicas) {
+        shared.record_era(Self::NAME, document.position, "peer");
+        let mut state = shared.state();
+        let events = state.replicas.apply_relayed(
+            document.entries,
+            &document.lapsed,
+            document.position,
+            Instant::now(),
+        );
+        state.registry_known = true;
+        state.record_replica_events(&events, "peer");
+        drop(state);
+        shared.request_heartbeat();
+    }
+}
+
+/// Reads a list from other gateways when this gateway's own watch does not deliver it, and
+/// has it read from the store when they do not either.
+pub async fn catch_up<L>(shared: Arc<Shared>, client: HttpClient, overdue: Sender<()>)
+where
+    L: Relayed,
+{
+    let mut reads = PeerReads::new(own_watch_grace(&shared));
     loop {
         Timer::after(CHECK_INTERVAL).await;
-        let now = Instant::now();
-        let waits = shared.state().store_readers.expects_changes(now);
-        let (grace, series_interval) = if waits {
-            (own_watch_grace(&shared), Duration::ZERO)
-        } else {
-            (Duration::ZERO, SERIES_INTERVAL)
+        let Some(from) = look::<L>(&shared, &mut reads, &overdue) else {
+            continue;
         };
-        configuration.set_pace(grace, series_interval);
-        replicas.set_pace(grace, series_interval);
-        let PeersAhead {
-            configuration_from,
-            replicas_from,
-        } = peers_ahead(&shared, now);
-        log_caught_up("configuration", &configuration, configuration_from, now);
-        log_caught_up("replicas", &replicas, replicas_from, now);
-        if configuration.due(configuration_from.is_some(), now)
-            && let Some(at) = configuration_from
-        {
-            let before = shared.state().held_configuration();
-            let began = Instant::now();
-            let read = read_configuration(&shared, &client, at).await;
-            log_read("configuration", at, began, &read);
-            let is_new = shared.state().held_configuration() > before;
-            configuration.record(is_new, Instant::now());
-        }
-        if replicas.due(replicas_from.is_some(), now)
-            && let Some(at) = replicas_from
-        {
-            let before = shared.state().replicas.position();
-            let began = Instant::now();
-            let read = read_replicas(&shared, &client, at).await;
-            log_read("replicas", at, began, &read);
-            let is_new = shared.state().replicas.position() > before;
-            replicas.record(is_new, Instant::now());
+        let began = Instant::now();
+        reads.begin(began);
+        let before = L::held(&shared.state());
+        let read = async { Some(read::<L>(&client, from).await) };
+        // A read that takes long must not keep this gateway from the store.
+        let no_longer_behind = async {
+            while reads.behind_for(Instant::now()).is_some() {
+                Timer::after(CHECK_INTERVAL).await;
+                let _other = look::<L>(&shared, &mut reads, &overdue);
+            }
+            None
+        };
+        if let Some(read) = future::or(read, no_longer_behind).await {
+            log_read(L::NAME, from, began, &read);
+            if let Ok(document) = read {
+                L::apply(&shared, document);
+            }
         }
+        let is_new = L::held(&shared.state()) > before;
+        reads.record(is_new, Instant::now());
+    }
+}
+
+/// Returns the relay address of the gateway to read a list from, if that is due now, and has
+/// the store read if this one is behind for too long.
+fn look<L>(shared: &Shared, reads: &mut PeerReads, overdue: &Sender<()>) -> Option<SocketAddr>
+where
+    L: Relayed,
+{
+    let now = Instant::now();
+    let mut state = shared.state();
+    let (grace, series_interval) = if state.store_readers.expects_changes(now) {
+        (own_watch_grace(shared), Duration::ZERO)
+    } else {
+        (Duration::ZERO, SERIES_INTERVAL)
+    };
+    reads.set_pace(grace, series_interval);
+    let zone = shared.settings.zone.as_str();
+    let from = L::ahead(&state, zone, now, &mut rand::rng());
+    let from = from.map(|p| p.relay_address);
+    log_caught_up(L::NAME, reads, from, now);
+    let is_due = reads.due(from.is_some(), now);
+    if reads.store_due(shared.settings.in_force_within, now) {
+        state.store_readers.record_behind(now);
+        drop(state);
+        let behind_ms = millis(reads.behind_for(now).unwrap_or_default());
+        shared.metrics.count("list_overdue");
+        log::warn!(event = "list_overdue", what = L::NAME, behind_ms; "other gateways do not pass on what they have; reading the store");
+        // A full channel means that the store is about to be read.
+        let _already_told = overdue.try_send(());
     }
+    from.filter(|_| is_due)
 }
 
 /// Logs that this gateway is no longer behind the others, if it was so for long.
@@ -188,67 +310,20 @@
     shared.settings.min_watch_interval + OWN_WATCH_GRACE
 }
 
-/// Relay addresses of gateways that have newer objects than this one.
-struct PeersAhead {
-    configuration_from: Option<SocketAddr>,
-    replicas_from: Option<SocketAddr>,
-}
-
-fn peers_ahead(shared: &Shared, now: Instant) -> PeersAhead {
-    let state = shared.state();
-    let own = state.held_configuration();
-    let zone = shared.settings.zone.as_str();
-    let (peers, rng) = (&state.peers, &mut rand::rng());
-    let configuration = peers.newer_configuration(own, zone, now, rng);
-    let replicas = peers.newer_replicas(state.replicas.position(), zone, now, rng);
-    PeersAhead {
-        configuration_from: configuration.map(|p| p.relay_address),
-        replicas_from: replicas.map(|p| p.relay_address),
-    }
-}
-
-async fn read_configuration(
-    shared: &Shared,
-    client: &HttpClient,
-    at: SocketAddr,
-) -> Result<(), HttpError> {
-    let call = Call::get(at, CONFIGURATION_PATH);
-    let relayed = client
-        .fetch::<RelayedConfiguration>(call, READ_TIMEOUT)
-        .await?;
-    let configuration = Arc::unwrap_or_clone(relayed.configuration);
-    shared.apply_configuration(configuration, relayed.position, "peer");
-    Ok(())
-}
-
-async fn read_replicas(
-    shared: &Shared,
-    client: &HttpClient,
-    at: SocketAddr,
-) -> Result<(), HttpError> {
-    let call = Call::get(at, REPLICAS_PATH);
-    let relayed = client.fetch::<RelayedReplicas>(call, READ_TIMEOUT).await?;
-    shared.record_era("replicas", relayed.position, "peer");
-    let mut state = shared.state();
-    let events = state.replicas.apply_relayed(
-        relayed.entries,
-        &relayed.lapsed,
-        relayed.position,
-        Instant::now(),
-    );
-    state.registry_known = true;
-    state.record_replica_events(&events, "peer");
-    drop(state);
-    shared.request_heartbeat();
-    Ok(())
+async fn read<L>(client: &HttpClient, from: SocketAddr) -> Result<L::Document, HttpError>
+where
+    L: Relayed,
+{
+    let call = Call::get(from, L::PATH);
+    client.fetch::<L::Document>(call, READ_TIMEOUT).await
 }
 
-fn log_read(what: &str, from: SocketAddr, began: Instant, read: &Result<(), HttpError>) {
+fn log_read<T>(what: &str, from: SocketAddr, began: Instant, read: &Result<T, HttpError>) {
     let from = from.to_string();
     let after_ms = millis(began.elapsed());
     match read {
-        Ok(()) => {
-            log::info!(event = "relayed", what, from = from.as_str(), after_ms; "read from a peer")
+        Ok(_read) => {
+            log::info!(event = "relayed", what, from = from.as_str(), after_ms; "read from a peer");
         }
         Err(e) => {
             let error = e.to_string();
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
+use async_channel::Sender;
 use async_net::TcpListener;
 use async_net::UdpSocket;
 use async_signal::Signal;
@@ -42,6 +43,8 @@
 use crate::reach_check;
 use crate::relay;
 use crate::relay::RelayService;
+use crate::relay::TheConfiguration;
+use crate::relay::TheReplicas;
 use crate::replica_watch;
 use crate::replica_watch::FollowedReplicas;
 use crate::session_limits::session_limits;
@@ -115,7 +118,7 @@
     let settings = &shared.settings;
     let socket = UdpSocket::bind(settings.gossip_address).await;
     let socket = socket.map_err(|e| bind_error("gossip", settings.gossip_address, e))?;
-    let pause_guard = keep_in_sync(&shared, &plane, &executor);
+    let (pause_guard, overdue) = keep_in_sync(&shared, &plane, &executor);
     exchange_heartbeats(
         &executor,
         &shared,
@@ -124,7 +127,7 @@
         &pause_guard,
     );
     keep_running!(executor, "expiry", replica_watch::expire(shared));
-    keep_running!(executor, "relay", relay::catch_up(shared, client));
+    read_from_peers(&executor, &shared, &client, overdue);
     let failed = requests.failed;
     keep_running!(
         executor,
@@ -233,8 +236,40 @@
     Ok(())
 }
 
+/// Has the lists that gateways read from each other read from the store.
+struct Overdue {
+    configuration: Sender<()>,
+    replicas: Sender<()>,
+}
+
+/// Starts the tasks that read lists from other gateways. One for each, so that a read of one
+/// does not delay the other.
+fn read_from_peers(
+    executor: &Executor,
+    shared: &Arc<Shared>,
+    client: &HttpClient,
+    overdue: Overdue,
+) {
+    let Overdue {
+        configuration,
+        replicas,
+    } = overdue;
+    let catch_up = relay::catch_up::<TheConfiguration>;
+    keep_running!(
+        executor,
+        "relay_configuration",
+        catch_up(shared, client, configuration)
+    );
+    let catch_up = relay::catch_up::<TheReplicas>;
+    keep_running!(
+        executor,
+        "relay_replicas",
+        catch_up(shared, client, replicas)
+    );
+}
+
 /// Starts the tasks that read the store, and returns what notices pauses of the process.
-fn keep_in_sync<C>(shared: &Arc<Shared>, plane: &C, executor: &Executor) -> PauseGuard
+fn keep_in_sync<C>(shared: &Arc<Shared>, plane: &C, executor: &Executor) -> (PauseGuard, Overdue)
 where
     C: ControlPlane,
 {
@@ -250,8 +285,15 @@
     let returns = returns.collect::<Vec<_>>();
     let followers = store_check.followers();
     let pause_guard = PauseGuard::new(&lists, followers, shared.metrics.clone());
-    let signals = returns.into_iter().map(|returns| StoreSignals {
+    let (configuration_overdue, overdue_rx) = async_channel::bounded(1);
+    let (replicas_overdue, replicas_overdue_rx) = async_channel::bounded(1);
+    // Heartbeats carry the evacuated zones themselves, so these are never overdue.
+    let (_evacuations_overdue, evacuations_overdue_rx) = async_channel::bounded(1);
+    let overdue = [overdue_rx, replicas_overdue_rx, evacuations_overdue_rx];
+    let signals = returns.into_iter().zip(overdue);
+    let signals = signals.map(|(returns, overdue)| StoreSignals {
         returns,
+        overdue,
         gate: gates.gate(),
         pause_guard: pause_guard.clone(),
     });
@@ -294,7 +336,11 @@
     let gate = gates.gate();
     keep_running!(executor, "store_check", StoreCheck::run(store_check, gate));
     keep_running!(executor, "store_gates", StoreGates::run(gates));
-    pause_guard
+    let overdue = Overdue {
+        configuration: configuration_overdue,
+        replicas: replicas_overdue,
+    };
+    (pause_guard, overdue)
 }
 
 /// Starts listeners for which no stop waits.
--- a/crates/policy/src/peer_reads.rs
+++ b/crates/policy/src/peer_reads.rs
@@ -3,7 +3,8 @@
 //! A gateway reads from one that is ahead once its own watch has had time to deliver
 //! the same. A read that brings nothing new, as the other one cannot be reached or has
 //! it no longer, is repeated at growing intervals: when the store turns many gateways
-//! away, all of them ask the few that it serves.
+//! away, all of them ask the few that it serves. A gateway that stays behind all the same
+//! reads the store itself: those that have the news may be gone, or too slow to pass it on.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -13,6 +14,10 @@
 /// Longest time between two reads that bring nothing new: below the time in which a
 /// change must be in force, so that the next gateway that is asked can still deliver it.
 pub const MAX_INTERVAL: Duration = Duration::from_millis(800);
+/// Part of the time in which changes must be in force that a gateway stays behind, beyond
+/// what its own watch has to deliver, before it reads the store itself. Heartbeats take a
+/// quarter of that time to bring the news, and the read is to end in the rest.
+const STORE_AFTER_DIVISOR: u32 = 6;
 
 /// Spaces the reads of one object or list.
 #[derive(Debug, Clone, Copy)]
@@ -25,6 +30,12 @@
     behind_since: Option<Instant>,
     interval: Duration,
     next: Option<Instant>,
+    /// When the last read began.
+    began: Option<Instant>,
+    /// Since when this gateway is behind and no read has brought anything.
+    stale_since: Option<Instant>,
+    /// When the store was last to be read.
+    store_read_at: Option<Instant>,
 }
 
 impl PeerReads {
@@ -39,6 +50,9 @@
             behind_since: None,
             interval: MIN_INTERVAL,
             next: None,
+            began: None,
+            stale_since: None,
+            store_read_at: None,
         }
     }
 
@@ -55,14 +69,39 @@
             self.behind_since = None;
             self.interval = MIN_INTERVAL;
             self.next = None;
+            self.stale_since = None;
+            self.store_read_at = None;
             return false;
         }
         let since = *self.behind_since.get_or_insert(now);
+        self.stale_since.get_or_insert(now);
         let grace_over = now.saturating_duration_since(since) >= self.grace;
         let is_due = |at: Option<Instant>| at.is_none_or(|at| now >= at);
         grace_over && is_due(self.next) && is_due(self.series_next)
     }
 
+    /// Records the beginning of a read.
+    pub fn begin(&mut self, now: Instant) {
+        self.began = Some(now);
+    }
+
+    /// Returns whether this gateway has been behind for so long that it has to read the
+    /// store itself, as changes must be in force within this time. It is to do so again
+    /// after as long as it is still behind.
+    pub fn store_due(&mut self, in_force_within: Duration, now: Instant) -> bool {
+        let Some(since) = self.stale_since else {
+            return false;
+        };
+        let wait = in_force_within / STORE_AFTER_DIVISOR;
+        let is_over = |at: Instant, time: Duration| now.saturating_duration_since(at) >= time;
+        let is_due = is_over(since, self.grace + wait)
+            && self.store_read_at.is_none_or(|at| is_over(at, wait));
+        if is_due {
+            self.store_read_at = Some(now);
+        }
+        is_due
+    }
+
     /// Returns for how long this gateway has known that it is behind, if it is.
     #[must_use]
     pub fn behind_for(&self, now: Instant) -> Option<Duration> {
@@ -75,6 +114,8 @@
         if is_new {
             self.interval = MIN_INTERVAL;
             self.series_next = Some(now + self.series_interval);
+            // What is newer than the answer was written after the read began.
+            self.stale_since = self.began;
         }
         self.next = Some(now + self.interval);
         self.interval = (self.interval * 2).min(MAX_INTERVAL);
--- a/crates/policy/src/store_readers.rs
+++ b/crates/policy/src/store_readers.rs
@@ -4,7 +4,7 @@
 //! by. Those that the directory names read the store; the others learn from them which
 //! positions the store has reached, and read what is newer from one of them. A gateway
 //! that stands by reads the store as soon as it no longer hears enough readers that the
-//! store answers.
+//! store answers, or does not get from them what they have.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -77,6 +77,8 @@
     Paused,
     /// It hears too few readers that the store answers.
     FewReaders,
+    /// It knows that others have something newer, and does not get it from them.
+    Behind,
 }
 
 impl ReadCause {
@@ -88,6 +90,7 @@
             Self::Advertised => "advertised",
             Self::Paused => "paused",
             Self::FewReaders => "few_readers",
+            Self::Behind => "behind",
         }
     }
 }
@@ -123,6 +126,8 @@
     /// Since when it reads because it hears too few readers. The store may be away for all
     /// of them, so it is checked before the lists are read.
     probes_since: Option<Instant>,
+    /// When it was behind for too long, since the last decision.
+    behind_at: Option<Instant>,
 }
 
 impl StoreReaders {
@@ -140,6 +145,7 @@
             decided_at: None,
             answered_at: None,
             probes_since: None,
+            behind_at: None,
         }
     }
 
@@ -171,6 +177,11 @@
         self.answered_at = self.answered_at.max(Some(now));
     }
 
+    /// Records that this gateway has been behind others for too long.
+    pub fn record_behind(&mut self, now: Instant) {
+        self.behind_at = Some(now);
+    }
+
     /// Returns what this gateway reports to the others, unless it stands by.
     #[must_use]
     pub fn report(&self, advertised: bool, now: Instant) -> Option<StoreReading> {
@@ -202,6 +213,7 @@
             let is_heard = !is_old(report.heard_at, MAX_HEARD_AGE);
             readers += usize::from(report.reading.advertised && is_heard && answers);
         }
+        let is_behind = self.behind_at.take().is_some();
         self.is_large = own.gateways > self.all_read_up_to;
         let cause = if !self.is_large {
             Some(ReadCause::FewGateways)
@@ -211,6 +223,8 @@
             Some(ReadCause::Paused)
         } else if readers < MIN_READERS {
             Some(ReadCause::FewReaders)
+        } else if is_behind {
+            Some(ReadCause::Behind)
         } else {
             None
         };
@@ -219,8 +233,10 @@
                 self.required_at = Some(now);
             }
             // After a pause the last answer that was heard of says nothing about the
-            // store, and entries that were removed meanwhile must not be kept.
-            let silent_since = last_answer.filter(|_| cause != ReadCause::Paused);
+            // store, and entries that were removed meanwhile must not be kept. Where it is
+            // the others that do not pass on the news, the store was not away.
+            let was_away = !matches!(cause, ReadCause::Paused | ReadCause::Behind);
+            let silent_since = last_answer.filter(|_| was_away);
             let begins = !std::mem::replace(&mut self.reads, true);
             if cause != ReadCause::FewReaders {
                 self.probes_since = None;
