Detours: prefer gateways whose configuration is not older

What callers would see: a request that a gateway takes under a newer configuration is handled as an older one says, by the gateway that sends it on (found by reading, no report).

Cause: the other gateway places a request as its own, by its own configuration; the choice looked at load, reach and health, and not at what that gateway said it holds. What a heartbeat names is never newer than what its sender has, so a gateway that is said to hold as much does.

Change: gateways that hold at least this one's configuration come first.

Evidence: reach::a_gateway_with_an_older_configuration_comes_last; the choice before took the one that places requests, whatever it held.

--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -86,6 +86,7 @@
         let tried = |vm: &str| attempts.tried.iter().any(|id| id == vm);
         let peer = detours::choose(
             state.peers.serving(now),
+            state.held_configuration(),
             |p| tried(&p.vm),
             |p| state.peer_health.penalty(&p.vm, now),
             &mut rand::rng(),
--- a/crates/policy/src/detours.rs
+++ b/crates/policy/src/detours.rs
@@ -3,6 +3,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
+use crate::peers::HeldConfiguration;
 use crate::peers::Presence;
 
 /// Gateways of which the one with the least load is chosen.
@@ -11,9 +12,16 @@
 const HEALTHY_BELOW_PENALTY: f64 = 0.5;
 
 /// Chooses one of the gateways that serve and reach replicas, without those for which
-/// `tried` returns true. Gateways that place requests know best what replicas have in
-/// flight. `penalty` is how much to avoid one that has just failed.
-pub fn choose<'a, I, T, P, R>(serving: I, tried: T, penalty: P, rng: &mut R) -> Option<&'a Presence>
+/// `tried` returns true. One with an older configuration than this gateway holds would
+/// handle the request as that says, so it comes last. Gateways that place requests know best
+/// what replicas have in flight. `penalty` is how much to avoid one that has just failed.
+pub fn choose<'a, I, T, P, R>(
+    serving: I,
+    held: HeldConfiguration,
+    tried: T,
+    penalty: P,
+    rng: &mut R,
+) -> Option<&'a Presence>
 where
     I: IntoIterator<Item = &'a Presence>,
     T: Fn(&Presence) -> bool,
@@ -22,6 +30,7 @@
 {
     let open = serving.into_iter().filter(|p| !p.cut_off && !tried(p));
     let mut best = open.collect::<Vec<_>>();
+    prefer(&mut best, |p| p.configuration >= held);
     prefer(&mut best, |p| p.places_requests);
     prefer(&mut best, |p| penalty(p) < HEALTHY_BELOW_PENALTY);
     let drawn = (0..CHOICES).filter_map(|_| best.choose(rng).copied());
--- a/crates/policy/tests/reach.rs
+++ b/crates/policy/tests/reach.rs
@@ -137,7 +137,13 @@
         let gateways = gateways.collect::<Vec<_>>();
         let tried = |p: &Presence| others[usize::try_from(p.incarnation).expect("few")].tried;
         let mut rng = StdRng::seed_from_u64(3);
-        let chosen = detours::choose(&gateways, tried, |_| 0.0, &mut rng);
+        let chosen = detours::choose(
+            &gateways,
+            HeldConfiguration::default(),
+            tried,
+            |_| 0.0,
+            &mut rng,
+        );
         let open = gateways.iter().filter(|p| !p.cut_off && !tried(p));
         let open = open.collect::<Vec<_>>();
         assert_eq!(chosen.is_some(), !open.is_empty());
@@ -162,7 +168,13 @@
         let mut counts = [0; 9];
         for _ in 0..3_000 {
             let penalty = |p: &Presence| if p.incarnation == 8 { penalty } else { 0.0 };
-            let chosen = detours::choose(&gateways, |_| false, penalty, &mut rng);
+            let chosen = detours::choose(
+                &gateways,
+                HeldConfiguration::default(),
+                |_| false,
+                penalty,
+                &mut rng,
+            );
             counts[usize::try_from(chosen.expect("three do").incarnation).expect("few")] += 1;
         }
         counts
@@ -173,6 +185,30 @@
     assert_eq!(by(2.0)[8], 0);
 }
 
+/// Guards against a request that goes by way of a gateway whose configuration is older, and is
+/// handled as that one says, though the gateway that took it knows better.
+#[test]
+fn a_gateway_with_an_older_configuration_comes_last() {
+    let held = |version| HeldConfiguration {
+        version,
+        position: StorePosition::default(),
+    };
+    let with = |n, version, places_requests| Presence {
+        configuration: held(version),
+        places_requests,
+        ..gateway(n)
+    };
+    let mut gateways = vec![with(0, 4, true), with(1, 5, false), with(2, 6, false)];
+    let mut rng = StdRng::seed_from_u64(48);
+    let mut chosen = |gateways: &[Presence]| {
+        let chosen = detours::choose(gateways, held(5), |_| false, |_| 0.0, &mut rng);
+        chosen.expect("they serve").incarnation
+    };
+    assert!((0..100).all(|_| chosen(&gateways) != 0));
+    gateways.truncate(1);
+    assert_eq!(chosen(&gateways), 0, "there is no other");
+}
+
 /// Guards against a gateway that takes itself for cut off as its replicas are too busy for
 /// health checks, though answers to its sends arrive.
 #[test]
