Lists for other gateways: one text for all, deflated, outside the pool of answers

Cause: each gateway that stands by read the whole document anew, up to a megabyte over links of 20 Mbit/s, within 0.6 s, and began again from nothing when that ran out. A gateway asked those of its own zone again, however often in vain.

Change: a list is encoded once for all that read it, deflated for those that accept that (earlier builds name no coding and get the same document as before), and counted in no pool: at most four earlier texts may be under way beside the current one. A read goes on while bytes come (0.6 s without one), for half of the time in which changes must be in force at most. Gateways that were asked in vain come last for 3 s. After a watch has failed to deliver, it is not waited for.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod reservation;
 mod session_limits;
 mod settings;
+pub mod shared_text;
 mod shortage;
 mod signal_clock;
 pub mod sse;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,25 +14,31 @@
 use async_io::Timer;
 use briarhall_net::Body;
 use briarhall_net::Call;
-use briarhall_net::Client;
 use briarhall_net::Handler;
 use briarhall_net::HttpClient;
 use briarhall_net::HttpError;
-use briarhall_net::counted;
-use briarhall_net::json;
+use briarhall_net::MAX_REPLY_BYTES;
 use briarhall_net::status;
+use briarhall_policy::peer_reads::LIMIT_DIVISOR;
+use briarhall_policy::peer_reads::MAX_SILENCE;
 use briarhall_policy::peer_reads::PeerReads;
 use briarhall_policy::peers::HeldConfiguration;
 use briarhall_policy::peers::Presence;
+use briarhall_policy::peers::VmName;
 use briarhall_types::Configuration;
 use briarhall_types::ReplicaEntry;
 use briarhall_types::ReplicaId;
 use briarhall_types::StorePosition;
 use futures_lite::future;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::ACCEPT_ENCODING;
+use hyper::header::CONTENT_ENCODING;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
 use rand::Rng;
 use serde::Deserialize;
 use serde::Serialize;
@@ -40,6 +46,10 @@
 
 use crate::client_request::ClientRequests;
 use crate::detour;
+use crate::shared_text;
+use crate::shared_text::Encoded;
+use crate::shared_text::SharedText;
+use crate::shared_text::inflate;
 use crate::state::Shared;
 use crate::state::State;
 use crate::wire::Wire;
@@ -57,8 +67,8 @@
 const SERIES_INTERVAL: Duration = Duration::from_millis(300);
 /// Time behind other gateways that is logged.
 const LONG_BEHIND: Duration = Duration::from_millis(500);
-/// Time limit for one read from another gateway.
-const READ_TIMEOUT: Duration = Duration::from_millis(600);
+/// Coding of HTTP in which gateways send lists to each other.
+const DEFLATE: &str = "deflate";
 
 /// The configuration as gateways send it to each other.
 #[derive(Debug, Serialize, Deserialize)]
@@ -83,6 +93,16 @@
     pub shared: Arc<Shared>,
     /// Answers the requests.
     pub requests: ClientRequests<W>,
+    /// The lists as they are sent.
+    pub texts: Arc<Texts>,
+}
+
+/// The lists in the form in which other gateways read them.
+#[derive(Debug, Default)]
+pub struct Texts {
+    configuration: SharedText<HeldConfiguration>,
+    /// Entries may lapse while the position stays, so the text itself is the key.
+    replicas: SharedText<Vec<u8>>,
 }
 
 impl<W> Handler for RelayService<W>
@@ -93,45 +113,66 @@
         if let Some(max_attempts) = detour::max_attempts(req.headers()) {
             return self.requests.handle_detour(req, max_attempts).await;
         }
-        let reply = self.list(req.uri().path());
-        // Sessions add their client to each request.
-        let Some(client) = req.extensions().get::<Arc<Client>>() else {
-            return reply;
-        };
-        let counted = counted(reply, client).await;
-        counted.unwrap_or_else(|_no_room| status(StatusCode::SERVICE_UNAVAILABLE))
+        // Lists count in no pool: there is one copy for all that read them, and gateways
+        // depend on them while clients' answers take up the memory.
+        self.list(req.uri().path(), accepts_deflate(req.headers()))
     }
 }
 
 impl<W> RelayService<W> {
     /// Returns a list that another gateway asks for.
-    fn list(&self, path: &str) -> Response<Body> {
+    fn list(&self, path: &str, deflate: bool) -> Response<Body> {
+        let text = match path {
+            CONFIGURATION_PATH => self.configuration(),
+            REPLICAS_PATH => self.replicas(),
+            _ => return status(StatusCode::NOT_FOUND),
+        };
+        let Some(text) = text else {
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        };
+        let mut reply = Response::new(Body::Full(Some(shared_text::bytes(text, deflate))));
+        let headers = reply.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if deflate {
+            headers.insert(CONTENT_ENCODING, HeaderValue::from_static(DEFLATE));
+        }
+        reply
+    }
+
+    fn configuration(&self) -> Option<Arc<Encoded>> {
         let state = self.shared.state();
-        match path {
-            CONFIGURATION_PATH => match &state.current_configuration {
-                Some(current) => json(
-                    StatusCode::OK,
-                    &RelayedConfiguration {
-                        position: current.position,
-                        configuration: Arc::clone(&current.configuration),
-                    },
-                ),
-                None => status(StatusCode::SERVICE_UNAVAILABLE),
-            },
-            REPLICAS_PATH if state.registry_known => json(
-                StatusCode::OK,
-                &RelayedReplicas {
-                    position: state.replicas.position(),
-                    entries: state.replicas.entries(),
-                    lapsed: state.replicas.lapsed(),
-                },
-            ),
-            REPLICAS_PATH => status(StatusCode::SERVICE_UNAVAILABLE),
-            _ => status(StatusCode::NOT_FOUND),
+        let held = state.held_configuration();
+        let current = state.current_configuration.as_ref()?;
+        let document = RelayedConfiguration {
+            position: current.position,
+            configuration: Arc::clone(&current.configuration),
+        };
+        drop(state);
+        let encode = || serde_json::to_vec(&document).unwrap_or_default();
+        self.texts.configuration.get(held, encode)
+    }
+
+    fn replicas(&self) -> Option<Arc<Encoded>> {
+        let state = self.shared.state();
+        if !state.registry_known {
+            return None;
         }
+        let document = RelayedReplicas {
+            position: state.replicas.position(),
+            entries: state.replicas.entries(),
+            lapsed: state.replicas.lapsed(),
+        };
+        drop(state);
+        let text = serde_json::to_vec(&document).unwrap_or_default();
+        self.texts.replicas.get(text.clone(), || text)
     }
 }
 
+fn accepts_deflate(headers: &HeaderMap) -> bool {
+    let accepted = headers.get(ACCEPT_ENCODING).and_then(|v| v.to_str().ok());
+    accepted.is_some_and(|codings| codings.split(',').any(|coding| coding.trim() == DEFLATE))
+}
+
 /// A list that gateways read from each other.
 pub trait Relayed: Send + Sync + 'static {
     /// Its name in logs.
@@ -235,13 +276,13 @@
     let mut reads = PeerReads::new(own_watch_grace(&shared));
     loop {
         Timer::after(CHECK_INTERVAL).await;
-        let Some(from) = look::<L>(&shared, &mut reads, &overdue) else {
+        let Some(Ahead { vm, address: from }) = look::<L>(&shared, &mut reads, &overdue) else {
             continue;
         };
         let began = Instant::now();
         reads.begin(began);
         let before = L::held(&shared.state());
-        let read = async { Some(read::<L>(&client, from).await) };
+        let read = async { Some(read::<L>(&shared, &client, from).await) };
         // A read that takes long must not keep this gateway from the store.
         let no_longer_behind = async {
             while reads.behind_for(Instant::now()).is_some() {
@@ -252,8 +293,9 @@
         };
         if let Some(read) = future::or(read, no_longer_behind).await {
             log_read(L::NAME, from, began, &read);
-            if let Ok(document) = read {
-                L::apply(&shared, document);
+            match read {
+                Ok(document) => L::apply(&shared, document),
+                Err(_logged) => shared.state().peers.record_failed_read(&vm, Instant::now()),
             }
         }
         let is_new = L::held(&shared.state()) > before;
@@ -261,9 +303,15 @@
     }
 }
 
-/// Returns the relay address of the gateway to read a list from, if that is due now, and has
-/// the store read if this one is behind for too long.
-fn look<L>(shared: &Shared, reads: &mut PeerReads, overdue: &Sender<()>) -> Option<SocketAddr>
+/// A gateway that has a list further than this one.
+struct Ahead {
+    vm: VmName,
+    address: SocketAddr,
+}
+
+/// Returns the gateway to read a list from, if that is due now, and has the store read if
+/// this one is behind for too long.
+fn look<L>(shared: &Shared, reads: &mut PeerReads, overdue: &Sender<()>) -> Option<Ahead>
 where
     L: Relayed,
 {
@@ -277,8 +325,11 @@
     reads.set_pace(grace, series_interval);
     let zone = shared.settings.zone.as_str();
     let from = L::ahead(&state, zone, now, &mut rand::rng());
-    let from = from.map(|p| p.relay_address);
-    log_caught_up(L::NAME, reads, from, now);
+    let from = from.map(|p| Ahead {
+        vm: p.vm.clone(),
+        address: p.relay_address,
+    });
+    log_caught_up(L::NAME, reads, from.is_some(), now);
     let is_due = reads.due(from.is_some(), now);
     if reads.store_due(shared.settings.in_force_within, now) {
         state.store_readers.record_behind(now);
@@ -293,9 +344,9 @@
 }
 
 /// Logs that this gateway is no longer behind the others, if it was so for long.
-fn log_caught_up(what: &str, reads: &PeerReads, from: Option<SocketAddr>, now: Instant) {
+fn log_caught_up(what: &str, reads: &PeerReads, is_behind: bool, now: Instant) {
     let behind = reads.behind_for(now).unwrap_or_default();
-    if from.is_none() && behind >= LONG_BEHIND {
+    if !is_behind && behind >= LONG_BEHIND {
         let behind_ms = millis(behind);
         log::info!(event = "caught_up", what, behind_ms; "this gateway was behind others for long");
     }
@@ -310,12 +361,31 @@
     shared.settings.min_watch_interval + OWN_WATCH_GRACE
 }
 
-async fn read<L>(client: &HttpClient, from: SocketAddr) -> Result<L::Document, HttpError>
+/// Reads a list from another gateway. One of an earlier build ignores which codings are
+/// accepted.
+async fn read<L>(
+    shared: &Shared,
+    client: &HttpClient,
+    from: SocketAddr,
+) -> Result<L::Document, HttpError>
 where
     L: Relayed,
 {
-    let call = Call::get(from, L::PATH);
-    client.fetch::<L::Document>(call, READ_TIMEOUT).await
+    let unreadable = |reason: String| HttpError::Malformed {
+        address: from,
+        reason,
+    };
+    let call = Call::get(from, L::PATH).header("accept-encoding", DEFLATE);
+    let limit = shared.settings.in_force_within / LIMIT_DIVISOR;
+    let (headers, body) = client.fetch_steadily(call, MAX_SILENCE, limit).await?;
+    let is_deflated = headers.get(CONTENT_ENCODING).is_some_and(|c| c == DEFLATE);
+    let document = if is_deflated {
+        let text = inflate(&body, MAX_REPLY_BYTES).map_err(|e| unreadable(e.to_string()))?;
+        serde_json::from_slice(&text)
+    } else {
+        serde_json::from_slice(&body)
+    };
+    document.map_err(|e| unreadable(e.to_string()))
 }
 
 fn log_read<T>(what: &str, from: SocketAddr, began: Instant, read: &Result<T, HttpError>) {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -153,6 +153,7 @@
     let relay = RelayService {
         shared: Arc::clone(&shared),
         requests: client_requests.clone(),
+        texts: Arc::default(),
     };
     let directory = Directory {
         wire,
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -11,6 +11,10 @@
 
 use async_executor::Task;
 use async_net::TcpStream;
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -45,7 +49,8 @@
 /// of an answer at most, and those of the system.
 const EXCHANGE_BUFFER_BYTES: usize = 32 * 1024;
 const EXCHANGE_SOCKET_BYTES: usize = 32 * 1024;
-const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
+/// Most bytes of a body that is read whole.
+pub const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
 
 /// How far a call had got when it failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -334,6 +339,50 @@
         Ok(reply)
     }
 
+    /// Sends a call and reads an answer with a success status as long as bytes keep coming,
+    /// none later than `max_silence` after the one before, and all within `limit`. Returns its
+    /// headers and its body as it came.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the call fails, the status is not a success, or the answer does
+    /// not come in time or is too long.
+    pub async fn fetch_steadily(
+        &self,
+        call: Call,
+        max_silence: Duration,
+        limit: Duration,
+    ) -> Result<(HeaderMap, Bytes), HttpError> {
+        let address = call.address;
+        let elapsed = |_e| HttpError::Elapsed { address };
+        let exchange = async {
+            let reply = self.send(call, max_silence).await?;
+            let (head, mut body) = reply.into_parts();
+            if !head.status.is_success() {
+                let reason = format!("status {}", head.status);
+                return Err(HttpError::Malformed { address, reason });
+            }
+            let mut buf = BytesMut::new();
+            loop {
+                let frame = timeout(max_silence, body.frame()).await.map_err(elapsed)?;
+                let Some(frame) = frame else {
+                    return Ok((head.headers, buf.freeze()));
+                };
+                let frame = frame.map_err(|e| HttpError::Broken {
+                    address,
+                    reason: e.to_string(),
+                })?;
+                let data = frame.into_data().unwrap_or_default();
+                if buf.len() + data.len() > MAX_REPLY_BYTES {
+                    let reason = format!("longer than {MAX_REPLY_BYTES} bytes");
+                    return Err(HttpError::Malformed { address, reason });
+                }
+                buf.extend_from_slice(&data);
+            }
+        };
+        timeout(limit, exchange).await.map_err(elapsed)?
+    }
+
     /// Sends a call and reads a JSON answer with a success status.
     ///
     /// # Errors
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -44,6 +44,7 @@
 pub use client::FailurePoint;
 pub use client::HttpClient;
 pub use client::HttpError;
+pub use client::MAX_REPLY_BYTES;
 pub use client::Reading;
 pub use client::enable_keepalive;
 pub use exec::Executor;
--- a/crates/policy/src/peer_reads.rs
+++ b/crates/policy/src/peer_reads.rs
@@ -14,6 +14,11 @@
 /// Longest time between two reads that bring nothing new: below the time in which a
 /// change must be in force, so that the next gateway that is asked can still deliver it.
 pub const MAX_INTERVAL: Duration = Duration::from_millis(800);
+/// Time without a byte after which a read is given up. As long as bytes come it goes on: one
+/// that begins anew transfers again what it had.
+pub const MAX_SILENCE: Duration = Duration::from_millis(600);
+/// Part of the time in which changes must be in force that a read may take as a whole.
+pub const LIMIT_DIVISOR: u32 = 2;
 /// Part of the time in which changes must be in force that a gateway stays behind, beyond
 /// what its own watch has to deliver, before it reads the store itself. Heartbeats take a
 /// quarter of that time to bring the news, and the read is to end in the rest.
--- a/crates/policy/src/peers.rs
+++ b/crates/policy/src/peers.rs
@@ -39,6 +39,9 @@
 const TAKE_OVER_INTERVALS: f64 = 1.5;
 /// Time without a heartbeat after which a gateway is removed.
 const REMOVE_AFTER: Duration = Duration::from_mins(1);
+/// Time for which a gateway from which a list was read in vain is not asked again, if
+/// another one is ahead too: until it counts as down, or has had time to become ready.
+const FAILED_READ_COUNTS: Duration = Duration::from_secs(3);
 
 /// Name of a VM that runs a gateway.
 pub type VmName = CompactString;
@@ -130,9 +133,11 @@
 /// The other gateways that one gateway knows.
 #[derive(Debug, Default)]
 pub struct Peers {
-    peers: BTreeMap<VmName, Peer>,
+    by_vm: BTreeMap<VmName, Peer>,
     /// Addresses that other gateways reported and that sent no heartbeat yet.
     unconfirmed: BTreeMap<SocketAddr, Instant>,
+    /// When a list was last read from a gateway in vain.
+    failed_reads: BTreeMap<VmName, Instant>,
 }
 
 /// What a heartbeat changed.
@@ -154,7 +159,7 @@
     pub fn add_addresses(&mut self, addresses: &[SocketAddr], now: Instant) {
         for address in addresses {
             let known = self
-                .peers
+                .by_vm
                 .values()
                 .any(|p| p.presence.gossip_address == *address);
             if !known {
@@ -167,7 +172,7 @@
     pub fn update(&mut self, presence: Presence, interval: Duration, now: Instant) -> PeerUpdate {
         let interval = interval.clamp(HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL);
         self.unconfirmed.remove(&presence.gossip_address);
-        let Some(peer) = self.peers.get_mut(&presence.vm) else {
+        let Some(peer) = self.by_vm.get_mut(&presence.vm) else {
             let vm = presence.vm.clone();
             let stopping_since = presence.stopping.then_some(now);
             let peer = Peer {
@@ -176,7 +181,7 @@
                 interval,
                 stopping_since,
             };
-            self.peers.insert(vm, peer);
+            self.by_vm.insert(vm, peer);
             return PeerUpdate::Up;
         };
         let same_process = peer.presence.incarnation == presence.incarnation;
@@ -208,22 +213,29 @@
 
     /// Removes gateways whose heartbeats stopped long ago.
     pub fn remove_expired(&mut self, now: Instant) {
-        self.peers
+        self.by_vm
             .retain(|_, peer| now.saturating_duration_since(peer.last_heartbeat) < REMOVE_AFTER);
         self.unconfirmed
             .retain(|_, added| now.saturating_duration_since(*added) < DOWN_AFTER);
+        self.failed_reads
+            .retain(|_, at| now.saturating_duration_since(*at) < FAILED_READ_COUNTS);
+    }
+
+    /// Records that a list was read in vain from a gateway.
+    pub fn record_failed_read(&mut self, vm: &str, now: Instant) {
+        self.failed_reads.insert(vm.into(), now);
     }
 
     /// Returns the gateways that are up.
     pub fn up(&self, now: Instant) -> impl Iterator<Item = &Presence> {
-        let up = self.peers.values().filter(move |peer| peer.is_up(now));
+        let up = self.by_vm.values().filter(move |peer| peer.is_up(now));
         up.map(|peer| &peer.presence)
     }
 
     /// Returns the last reports of gateways that read the store and can serve requests,
     /// also of those that are down.
     pub fn store_readers(&self) -> impl Iterator<Item = ReaderReport> {
-        let ready = self.peers.values().filter(|peer| peer.presence.ready);
+        let ready = self.by_vm.values().filter(|peer| peer.presence.ready);
         ready.filter_map(|peer| {
             Some(ReaderReport {
                 heard_at: peer.last_heartbeat,
@@ -241,7 +253,7 @@
     /// `after` the beginning of its stop. One that is overdue may be gone for good.
     #[must_use]
     pub fn first_return(&self, after: Duration, now: Instant) -> Option<Instant> {
-        let stops = self.peers.values().filter_map(|peer| peer.stopping_since);
+        let stops = self.by_vm.values().filter_map(|peer| peer.stopping_since);
         let returns = stops.map(|since| since + after);
         returns.filter(|at| *at > now).min()
     }
@@ -249,13 +261,13 @@
     /// Returns whether a gateway said last that it reaches no replica.
     #[must_use]
     pub fn is_cut_off(&self, vm: &str) -> bool {
-        self.peers.get(vm).is_some_and(|p| p.presence.cut_off)
+        self.by_vm.get(vm).is_some_and(|p| p.presence.cut_off)
     }
 
     /// Returns the heartbeat addresses of all gateways, including unconfirmed
     /// ones.
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        let known = self.peers.values().map(|peer| peer.presence.gossip_address);
+        let known = self.by_vm.values().map(|peer| peer.presence.gossip_address);
         known.chain(self.unconfirmed.keys().copied())
     }
 
@@ -272,7 +284,7 @@
     /// Returns how many gateways sent a heartbeat and were not removed.
     #[must_use]
     pub fn count(&self) -> usize {
-        self.peers.len()
+        self.by_vm.len()
     }
 
     /// Returns the share of the gateways that are not known to have stopped, this one
@@ -283,7 +295,7 @@
         reason = "counts of gateways are far below 2^52"
     )]
     pub fn heard_share(&self, now: Instant) -> f64 {
-        let known = self.peers.values();
+        let known = self.by_vm.values();
         let known = known
             .filter(|p| p.is_up(now) || !p.presence.stopping)
             .count();
@@ -321,14 +333,22 @@
     }
 
     /// Draws one of the gateways that are ahead: if all asked the one that is
-    /// furthest ahead, it would answer hundreds of them at the same moment.
+    /// furthest ahead, it would answer hundreds of them at the same moment. Those that were
+    /// asked in vain come last, wherever they are.
     fn any_ahead<F, R>(&self, ahead: F, zone: &str, now: Instant, rng: &mut R) -> Option<&Presence>
     where
         F: Fn(&Presence) -> bool,
         R: Rng,
     {
-        let near = self.up(now).filter(|p| p.zone == zone && ahead(p));
-        let near = near.choose(rng);
-        near.or_else(|| self.up(now).filter(|p| ahead(p)).choose(rng))
+        let has_failed = |p: &Presence| {
+            let failed = self.failed_reads.get(&p.vm);
+            failed.is_some_and(|at| now.saturating_duration_since(*at) < FAILED_READ_COUNTS)
+        };
+        let ahead = self.up(now).filter(|p| ahead(p));
+        let ahead = ahead.map(|p| ((has_failed(p), p.zone != zone), p));
+        let ahead = ahead.collect::<Vec<_>>();
+        let best = ahead.iter().map(|(rank, _)| *rank).min()?;
+        let of_best = ahead.into_iter().filter(|(rank, _)| *rank == best);
+        of_best.map(|(_, p)| p).choose(rng)
     }
 }
--- a/crates/policy/src/store_readers.rs
+++ b/crates/policy/src/store_readers.rs
@@ -126,7 +126,7 @@
     /// Since when it reads because it hears too few readers. The store may be away for all
     /// of them, so it is checked before the lists are read.
     probes_since: Option<Instant>,
-    /// When it was behind for too long, since the last decision.
+    /// When it was last behind for too long.
     behind_at: Option<Instant>,
 }
 
@@ -164,12 +164,16 @@
         self.reads && self.probes_since.is_none_or(has_answered)
     }
 
-    /// Returns whether this gateway's own watch may deliver a change. In a large
-    /// deployment it may not once the store has not answered for long.
+    /// Returns whether this gateway's own watch may deliver a change. It may not for a time
+    /// after it has not, and in a large deployment once the store has not answered for long.
     #[must_use]
     pub fn expects_changes(&self, now: Instant) -> bool {
-        let recent = |at: Instant| now.saturating_duration_since(at) < self.max_answer_age;
-        self.reads && (!self.is_large || self.answered_at.is_some_and(recent))
+        let is_recent = |at: Option<Instant>, max: Duration| {
+            at.is_some_and(|at| now.saturating_duration_since(at) < max)
+        };
+        self.reads
+            && !is_recent(self.behind_at, MIN_READING)
+            && (!self.is_large || is_recent(self.answered_at, self.max_answer_age))
     }
 
     /// Records that the store answered a call of this gateway.
@@ -213,7 +217,9 @@
             let is_heard = !is_old(report.heard_at, MAX_HEARD_AGE);
             readers += usize::from(report.reading.advertised && is_heard && answers);
         }
-        let is_behind = self.behind_at.take().is_some();
+        let is_behind = self
+            .behind_at
+            .is_some_and(|at| last.is_none_or(|last| at >= last));
         self.is_large = own.gateways > self.all_read_up_to;
         let cause = if !self.is_large {
             Some(ReadCause::FewGateways)
--- a/crates/policy/tests/peers.rs
+++ b/crates/policy/tests/peers.rs
@@ -165,6 +165,35 @@
     assert!(!newer(6, later), "it is down");
 }
 
+/// Guards against a gateway that asks one in its own zone again and again, though that one
+/// does not answer and others have the same.
+#[test]
+fn a_gateway_that_was_asked_in_vain_comes_last() {
+    let now = Instant::now();
+    let mut peers = Peers::default();
+    for (vm, zone) in [("near", "a"), ("far", "b")] {
+        let ahead = Presence {
+            vm: vm.into(),
+            zone: zone.into(),
+            ..presence(1, 7)
+        };
+        peers.update(ahead, Duration::from_secs(5), now);
+    }
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut from = |peers: &Peers, now| {
+        let own = held(6, 0, 6);
+        let newer = peers.newer_configuration(own, "a", now, &mut rng);
+        newer.expect("one is ahead").vm.clone()
+    };
+    assert_eq!(from(&peers, now), "near");
+    peers.record_failed_read("near", now);
+    assert_eq!(from(&peers, now), "far");
+    peers.record_failed_read("far", now);
+    assert_eq!(from(&peers, now), "near", "there is no other");
+    let later = now + Duration::from_secs(4);
+    assert_eq!(from(&peers, later), "near", "it may be well again");
+}
+
 /// Most addresses that one heartbeat of the model names.
 const NAMED: usize = 8;
 
