--- a/crates/policy/src/peer_reads.rs
+++ b/crates/policy/src/peer_reads.rs
@@ -23,6 +23,9 @@
 /// what its own watch has to deliver, before it reads the store itself. Heartbeats take a
 /// quarter of that time to bring the news, and the read is to end in the rest.
 const STORE_AFTER_DIVISOR: u32 = 6;
+/// Longest time between two reads of the store. A gateway may name a position that the store
+/// does not have.
+pub const MAX_STORE_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Spaces the reads of one object or list.
 #[derive(Debug, Clone, Copy)]
@@ -39,8 +42,8 @@
     began: Option<Instant>,
     /// Since when this gateway is behind and no read has brought anything.
     stale_since: Option<Instant>,
-    /// When the store was last to be read.
-    store_read_at: Option<Instant>,
+    /// When the store is to be read again, and the time since the last read of it.
+    store_next: Option<(Instant, Duration)>,
 }
 
 impl PeerReads {
@@ -57,7 +60,7 @@
             next: None,
             began: None,
             stale_since: None,
-            store_read_at: None,
+            store_next: None,
         }
     }
 
@@ -75,7 +78,7 @@
             self.interval = MIN_INTERVAL;
             self.next = None;
             self.stale_since = None;
-            self.store_read_at = None;
+            self.store_next = None;
             return false;
         }
         let since = *self.behind_since.get_or_insert(now);
@@ -91,18 +94,19 @@
     }
 
     /// Returns whether this gateway has been behind for so long that it has to read the
-    /// store itself, as changes must be in force within this time. It is to do so again
-    /// after as long as it is still behind.
+    /// store itself, as changes must be in force within this time. If it is still behind, it
+    /// is to do so again at growing intervals.
     pub fn store_due(&mut self, in_force_within: Duration, now: Instant) -> bool {
         let Some(since) = self.stale_since else {
             return false;
         };
         let wait = in_force_within / STORE_AFTER_DIVISOR;
-        let is_over = |at: Instant, time: Duration| now.saturating_duration_since(at) >= time;
-        let is_due = is_over(since, self.grace + wait)
-            && self.store_read_at.is_none_or(|at| is_over(at, wait));
+        let is_over = now.saturating_duration_since(since) >= self.grace + wait;
+        let is_due = is_over && self.store_next.is_none_or(|(at, _)| now >= at);
         if is_due {
-            self.store_read_at = Some(now);
+            let last = self.store_next.map_or(wait / 2, |(_, interval)| interval);
+            let interval = (last * 2).min(MAX_STORE_INTERVAL);
+            self.store_next = Some((now + interval, interval));
         }
         is_due
     }
@@ -121,6 +125,7 @@
             self.series_next = Some(now + self.series_interval);
             // What is newer than the answer was written after the read began.
             self.stale_since = self.began;
+            self.store_next = None;
         }
         self.next = Some(now + self.interval);
         self.interval = (self.interval * 2).min(MAX_INTERVAL);
--- a/crates/policy/tests/peer_reads.rs
+++ b/crates/policy/tests/peer_reads.rs
@@ -122,3 +122,53 @@
     pace.record(false, later);
     assert!(pace.due(true, later + STEP));
 }
+
+/// Guards against a gateway that goes on asking others, who do not pass on what they have,
+/// until it is too late to read the store.
+#[test]
+fn the_store_is_read_in_time() {
+    let began = Instant::now();
+    let mut pace = PeerReads::new(GRACE);
+    pace.set_pace(Duration::ZERO, Duration::ZERO);
+    let mut at = Duration::ZERO;
+    pace.due(true, began);
+    while !pace.store_due(IN_FORCE, began + at) {
+        at += STEP;
+        pace.due(true, began + at);
+    }
+    assert!(at <= IN_FORCE / 4, "{at:?}");
+    pace.due(false, began + at);
+    assert!(!pace.store_due(IN_FORCE, began + at), "it has caught up");
+}
+
+/// Guards against reads of the store by gateways that get all changes of a series from
+/// others, each a moment after it.
+#[test]
+fn the_store_is_not_read_while_reads_from_others_help() {
+    let began = Instant::now();
+    let mut pace = PeerReads::new(GRACE);
+    pace.set_pace(Duration::ZERO, Duration::ZERO);
+    for step in 0..100 {
+        let now = began + STEP * step;
+        if pace.due(true, now) {
+            pace.begin(now);
+            pace.record(true, now + STEP / 2);
+        }
+        assert!(!pace.store_due(IN_FORCE, now), "step {step}");
+    }
+}
+
+/// Guards against a gateway that reads the store all the time, as another one names a
+/// position that the store never had.
+#[test]
+fn reads_of_the_store_that_bring_nothing_become_rare() {
+    let began = Instant::now();
+    let mut pace = PeerReads::new(GRACE);
+    let mut reads = 0;
+    for step in 0..600 {
+        let now = began + STEP * step;
+        pace.due(true, now);
+        reads += u32::from(pace.store_due(IN_FORCE, now));
+    }
+    assert!((5..=11).contains(&reads), "{reads} in a minute");
+}
