--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -81,7 +81,8 @@
 /// Keeps an object or list in sync for the life of the process. Changes that come
 /// in series are read no more often than each `min_interval`. What was called before
 /// the store returns from an outage may never be answered, so it is called anew, as is a
-/// watch that does not deliver what other gateways have. While the gate is closed nothing is called, and afterwards it is read completely.
+/// watch that does not deliver what other gateways have. While the gate is closed nothing
+/// is called, and afterwards it is read completely.
 pub async fn follow<F>(followed: F, min_interval: Duration, signals: StoreSignals)
 where
     F: Followed,
