Review case 6: entries of another writer keep gateways from starting

Claim: 24 entries of 1 MB each of another writer among those of the replicas make each gateway of 260 MB exceed its memory as it reads the list, at each start (Fault: no request is served). An entry takes some 17 MB once it is decoded, and all of them are decoded before any is checked.

The stand-in store answers lists and watches in pages.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod crash;
 mod detour;
 mod endless;
+mod foreign;
 mod http;
 mod link;
 mod resume;
@@ -36,6 +37,7 @@
     let played = match case.as_str() {
         "crash" => crash::play(&folder, trouble),
         "detour" => detour::play(&folder, trouble),
+        "foreign" => foreign::play(&folder, trouble),
         "resume" => resume::play(&folder, trouble),
         "endless" => endless::play(&folder, trouble),
         _ => Err(format!("no case {case}")),
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -36,6 +36,9 @@
 const DIRECTORY: u16 = 20_003;
 const CONTROL: u16 = 20_004;
 const FIRST_PORT: u16 = 20_010;
+/// Items and bytes of one answer.
+const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1024 * 1024;
 /// The build of the deploy file leaves it here, seen from the repository's root.
 const GATEWAY: &str = "target/release/briarhall-gateway";
 
@@ -142,22 +145,36 @@
             let after = value("after").unwrap_or("");
             let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
             let items = of_kind.filter(|((_, name), _)| name.as_str() > after);
-            let items = items.map(|((_, name), (rev, spec))| object(name, *rev, spec));
-            let items = items.collect::<Vec<_>>().join(",");
-            let rev = state.rev;
-            let body = format!(r#"{{"items":[{items}],"more":false,"current_rev":{rev}}}"#);
+            let mut items = items.map(|((_, name), (rev, spec))| object(name, *rev, spec));
+            let (mut page, mut bytes) = (Vec::new(), 0);
+            while bytes < PAGE_BYTES && page.len() < PAGE_ITEMS {
+                let Some(item) = items.next() else {
+                    break;
+                };
+                bytes += item.len();
+                page.push(item);
+            }
+            let (page, more, rev) = (page.join(","), items.next().is_some(), state.rev);
+            let body = format!(r#"{{"items":[{page}],"more":{more},"current_rev":{rev}}}"#);
             return ("200 OK", body);
         };
         let ends = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
         loop {
             let changes = state.history.iter();
             let changes = changes.filter(|(rev, k, _)| *rev > since && k == kind);
-            let events = changes.map(|(_, _, event)| event.as_str());
-            let events = events.collect::<Vec<_>>().join(",");
+            let (mut events, mut bytes, mut read_to) = (Vec::new(), 0, state.rev);
+            for (rev, _, event) in changes {
+                bytes += event.len();
+                events.push(event.as_str());
+                if bytes >= PAGE_BYTES || events.len() == PAGE_ITEMS {
+                    read_to = *rev;
+                    break;
+                }
+            }
             let left = ends.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                let rev = state.rev;
-                let body = format!(r#"{{"events":[{events}],"current_rev":{rev}}}"#);
+                let events = events.join(",");
+                let body = format!(r#"{{"events":[{events}],"current_rev":{read_to}}}"#);
                 return ("200 OK", body);
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
@@ -257,6 +274,25 @@
         options: Options,
         links: BTreeMap<String, String>,
     ) -> Result<Gateway, String> {
+        let machine = self.machine(name, options, links)?;
+        let gateway = machine.start()?;
+        let ends = Instant::now() + Duration::from_secs(10);
+        while !machine.is_ready() {
+            if Instant::now() > ends {
+                return Err(format!("{name} isn't ready"));
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        Ok(gateway)
+    }
+
+    /// Writes the settings of a machine.
+    pub fn machine(
+        &self,
+        name: &str,
+        options: Options,
+        links: BTreeMap<String, String>,
+    ) -> Result<Machine, String> {
         let store = self.address(STORE_PORT);
         let listener = TcpListener::bind(store).map_err(|e| e.to_string())?;
         self.store.serve(listener, links);
@@ -288,23 +324,46 @@
         );
         let file = self.folder.join(format!("{name}.json"));
         fs::write(&file, settings).map_err(|e| e.to_string())?;
-        let log = self.folder.join(format!("{name}.log"));
-        let log = File::create(log).map_err(|e| e.to_string())?;
+        self.gateways.lock().unwrap().push(at(CONTROL));
+        Ok(Machine {
+            front: at(FRONT),
+            ready: at(READY),
+            log: self.folder.join(format!("{name}.log")),
+            settings: file,
+        })
+    }
+}
+
+/// A machine on which a gateway runs.
+#[derive(Debug)]
+pub struct Machine {
+    pub front: SocketAddr,
+    ready: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+}
+
+impl Machine {
+    /// Starts the gateway, with the command of the deploy file.
+    pub fn start(&self) -> Result<Gateway, String> {
+        let log = File::options().create(true).append(true).open(&self.log);
         let child = Command::new(GATEWAY)
-            .env("BRIARHALL_NODE_FILE", &file)
+            .env("BRIARHALL_NODE_FILE", &self.settings)
             .stdin(Stdio::null())
-            .stdout(log)
+            .stdout(log.map_err(|e| e.to_string())?)
             .stderr(Stdio::null())
             .spawn()
             .map_err(|e| format!("{GATEWAY}: {e}"))?;
-        self.gateways.lock().unwrap().push(at(CONTROL));
-        let gateway = Gateway {
-            front: at(FRONT),
+        Ok(Gateway {
+            front: self.front,
             child: Mutex::new(child),
-        };
-        let ends = Instant::now() + Duration::from_secs(10);
-        let ready = Call {
-            to: at(READY),
+        })
+    }
+
+    /// Returns whether the gateway says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let call = Call {
+            to: self.ready,
             method: "GET",
             path: "/v1/readyz",
             id: "ready",
@@ -312,13 +371,7 @@
             headers: &[],
             body: "",
         };
-        while ready.send().answer.is_none_or(|a| a.status() != 200) {
-            if Instant::now() > ends {
-                return Err(format!("{name} isn't ready"));
-            }
-            thread::sleep(Duration::from_millis(50));
-        }
-        Ok(gateway)
+        call.send().answer.is_some_and(|a| a.status() == 200)
     }
 }
 
@@ -341,10 +394,19 @@
 impl Gateway {
     /// Returns the memory that the process holds, in kB.
     pub fn memory_kb(&self) -> Option<u64> {
+        self.memory("VmRSS:")
+    }
+
+    /// Returns the most memory that it has held, in kB.
+    pub fn peak_kb(&self) -> Option<u64> {
+        self.memory("VmHWM:")
+    }
+
+    fn memory(&self, field: &str) -> Option<u64> {
         let pid = self.child.lock().unwrap().id();
         let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
         let mut lines = status.lines();
-        let line = lines.find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let line = lines.find_map(|line| line.strip_prefix(field))?;
         line.trim().strip_suffix("kB")?.trim().parse().ok()
     }
 
