--- a/review/standins-2/src/detour.rs
+++ b/review/standins-2/src/detour.rs
@@ -27,7 +27,7 @@
 use crate::site::Site;
 use crate::site::serve_replica;
 
-const REPLICAS: usize = 6;
+const REPLICAS: usize = 8;
 const ATTEMPTS: usize = 2;
 /// Requests that may run on more replicas by the rule.
 const MAY_EXCEED: usize = 3;
@@ -37,9 +37,9 @@
 const DEADLINE_MS: u64 = 1_000;
 /// Requests a second at each gateway.
 const PER_S: u64 = 150;
-const LASTS: Duration = Duration::from_secs(16);
+const LASTS: Duration = Duration::from_secs(18);
 const CUT_AT: Duration = Duration::from_secs(3);
-const CUT_FOR: Duration = Duration::from_secs(10);
+const CUT_FOR: Duration = Duration::from_secs(12);
 
 fn configuration() -> String {
     format!(
