Review case 8: a silence of the store between two checks loses all watches

Claim: when the store is silent for 0.15 s as gateways call for the next change, no later change reaches them for up to 26 s: a replica that drains 4 s later gets requests until it exits, and orders in its hand are lost (DRAIN).

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -9,6 +9,7 @@
 mod foreign;
 mod http;
 mod link;
+mod lost_watch;
 mod resume;
 mod site;
 
@@ -38,6 +39,7 @@
         "crash" => crash::play(&folder, trouble),
         "detour" => detour::play(&folder, trouble),
         "foreign" => foreign::play(&folder, trouble),
+        "lost-watch" => lost_watch::play(&folder, trouble),
         "resume" => resume::play(&folder, trouble),
         "endless" => endless::play(&folder, trouble),
         _ => Err(format!("no case {case}")),
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -19,6 +19,8 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -71,6 +73,8 @@
 pub struct Store {
     state: Mutex<StoreState>,
     changed: Condvar,
+    /// Whether calls that arrive now are never answered. Their connections stay open.
+    silent: AtomicBool,
 }
 
 #[derive(Debug, Default)]
@@ -100,6 +104,21 @@
         self.changed.notify_all();
     }
 
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.rev += 1;
+        let rev = state.rev;
+        state.objects.remove(&(kind.to_owned(), name.to_owned()));
+        let object = object(name, rev, "null");
+        let event = format!(r#"{{"tombstone":true,"object":{object}}}"#);
+        state.history.push((rev, kind.to_owned(), event));
+        self.changed.notify_all();
+    }
+
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::Relaxed);
+    }
+
     /// Answers at this address. Addresses of replicas are replaced as `links` says.
     pub fn serve(self: &Arc<Self>, listener: TcpListener, links: BTreeMap<String, String>) {
         let store = Arc::clone(self);
@@ -116,6 +135,11 @@
         let mut to = stream.try_clone().expect("a socket");
         let mut from = BufReader::new(stream);
         while let Ok(Some(req)) = read_request(&mut from) {
+            if self.silent.load(Ordering::Relaxed) {
+                // Until the caller closes.
+                let _closed = read_request(&mut from);
+                return;
+            }
             let (status, mut body) = self.answer(req.path());
             for (replica, link) in links {
                 body = body.replace(&format!("\"{replica}\""), &format!("\"{link}\""));
@@ -260,8 +284,20 @@
 
     /// Writes a replica's entry, as the replica would.
     pub fn register(&self, id: &str, service: &str, address: SocketAddr, born: u64) {
+        self.register_as(id, service, address, born, "ready");
+    }
+
+    /// Writes the entry of a replica in this state.
+    pub fn register_as(
+        &self,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        born: u64,
+        replica_state: &str,
+    ) {
         let spec = format!(
-            r#"{{"service":"{service}","addr":"{address}","zone":"a","version":"v1","slots":16,"state":"ready","cold_left_ms":0,"seq":1,"born":{born}}}"#
+            r#"{{"service":"{service}","addr":"{address}","zone":"a","version":"v1","slots":16,"state":"{replica_state}","cold_left_ms":0,"seq":1,"born":{born}}}"#
         );
         self.store.put("servers", id, &spec);
     }
