--- a/review/standins-2/src/lost_watch.rs
+++ b/review/standins-2/src/lost_watch.rs
@@ -33,7 +33,7 @@
 /// Rounds without the disruption.
 const CALM_ROUNDS: usize = 2;
 /// Silence of the store, well below the time between two checks of it.
-const SILENT_FOR: Duration = Duration::from_millis(150);
+const SILENT_FOR: Duration = Duration::from_millis(100);
 /// Time from the silence until a replica drains: more than `stable_window_ms`.
 const DRAINS_AFTER: Duration = Duration::from_millis(4_000);
 const DRAIN: Duration = Duration::from_millis(2_000);
@@ -122,8 +122,7 @@
 ) -> Result<usize, String> {
     let new = Replica::start(site, next)?;
     site.register(&new.id, "app", new.address, 1);
-    // The watches are answered at once.
-    thread::sleep(Duration::from_millis(1));
+    // The watches that wait are answered all the same: they were called before.
     if trouble {
         site.store.set_silent(true);
         site.record.add("the store is silent");
