Prove that watches deliver: the store's last position, and changes asked for

A key that was taken away went on to be served.

Cause: a signal was taken for the thing. `follow` waits for the answer of a watch for 26 s, and calls anew only if a check of the store has failed. Checks that are answered say nothing of a watch: it may have been called in a silence that no check fell into, or have waited and its answer was lost. Reads from other gateways help only where one of them has the news. The position in the answers to checks was thrown away.

Ruled out: shorter watches (each list of each gateway would cost a call a second); a watch that is called anew at the position of a check (the revision counts all kinds, so each change of one list would cost a call of each gateway for each other list); checks that are merely more frequent (a silence between them is as invisible).

Change: `policy/delivery.rs`. Of all gateways that read the store, one reads its last position each sixth of the time in which changes must be in force, with the check that it makes in any case, and tells the others at once. A gateway that has not been shown to have a list up to there asks for its changes with a watch that does not wait, while its own goes on. What that brings is applied, logged (`watch_lost`) and watched on from. Heartbeats carry how far each list is complete (a section that earlier builds skip; a test keeps its bytes), so the proof of one gateway serves all that have the same list. Positions of another era prove nothing. Checks of gateways that start together are spread, as each would else read what another one is about to tell.

--- a/crates/gateway/src/config_watch.rs
+++ b/crates/gateway/src/config_watch.rs
@@ -1,6 +1,7 @@
 //! Keeps the configuration in sync with the store.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use briarhall_objects::PlatformError;
 use briarhall_policy::resumption::List;
@@ -8,8 +9,8 @@
 
 use crate::control_plane::ConfigurationSnapshot;
 use crate::control_plane::ControlPlane;
+use crate::follow::Delivered;
 use crate::follow::Followed;
-use crate::follow::WATCH_TIMEOUT;
 use crate::follow::same_era;
 use crate::state::Shared;
 
@@ -36,10 +37,19 @@
         Ok(self.apply(snapshot))
     }
 
-    async fn watch(&self, since: StorePosition) -> Result<StorePosition, PlatformError> {
-        let snapshot = self.plane.watch_configuration(since, WATCH_TIMEOUT).await?;
+    async fn watch(
+        &self,
+        since: StorePosition,
+        wait: Duration,
+    ) -> Result<Delivered, PlatformError> {
+        let snapshot = self.plane.watch_configuration(since, wait).await?;
         same_era(since, snapshot.position)?;
-        Ok(self.apply(snapshot))
+        let is_change = snapshot.current.is_some();
+        let position = self.apply(snapshot);
+        Ok(Delivered {
+            position,
+            is_change,
+        })
     }
 }
 
--- a/crates/gateway/src/control_plane.rs
+++ b/crates/gateway/src/control_plane.rs
@@ -65,6 +65,15 @@
     pub changes: Vec<EvacuationChange>,
 }
 
+/// What the answer to a check has to show.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reading {
+    /// A position that the store has reached, maybe seconds ago. Such a call costs little.
+    MayBeOld,
+    /// The last position of the store.
+    Latest,
+}
+
 /// Reads of the platform's store.
 pub trait ControlPlane: Clone + Send + Sync + 'static {
     /// Reads the current configuration.
@@ -102,6 +111,10 @@
     ) -> impl Future<Output = Result<EvacuationChanges, PlatformError>> + Send;
 
     /// Checks that the store answers within `limit`, by a call that does not wait for
-    /// a change.
-    fn check(&self, limit: Duration) -> impl Future<Output = Result<(), PlatformError>> + Send;
+    /// a change, and returns the position that it names, if it names one.
+    fn check(
+        &self,
+        limit: Duration,
+        reading: Reading,
+    ) -> impl Future<Output = Result<Option<StorePosition>, PlatformError>> + Send;
 }
--- a/crates/gateway/src/evacuation_watch.rs
+++ b/crates/gateway/src/evacuation_watch.rs
@@ -11,8 +11,8 @@
 use briarhall_types::StorePosition;
 
 use crate::control_plane::ControlPlane;
+use crate::follow::Delivered;
 use crate::follow::Followed;
-use crate::follow::WATCH_TIMEOUT;
 use crate::follow::same_era;
 use crate::state::Shared;
 
@@ -54,10 +54,15 @@
         Ok(position)
     }
 
-    async fn watch(&self, since: StorePosition) -> Result<StorePosition, PlatformError> {
-        let changes = self.plane.watch_evacuations(since, WATCH_TIMEOUT).await?;
+    async fn watch(
+        &self,
+        since: StorePosition,
+        wait: Duration,
+    ) -> Result<Delivered, PlatformError> {
+        let changes = self.plane.watch_evacuations(since, wait).await?;
         same_era(since, changes.position)?;
-        if !changes.changes.is_empty() {
+        let is_change = !changes.changes.is_empty();
+        if is_change {
             let mut state = self.shared.state();
             let now = Instant::now();
             let events = state
@@ -66,7 +71,10 @@
             drop(state);
             record(&self.shared, &events, "store");
         }
-        Ok(changes.position)
+        Ok(Delivered {
+            position: changes.position,
+            is_change,
+        })
     }
 }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,11 +1,18 @@
 //! Keeps local state in sync with the store: reads an object or list
 //! completely, then watches it, and reads it again whenever a watch fails.
+//!
+//! A watch that waits proves nothing: its answer may have been lost. While it waits, the
+//! store is asked for changes whenever it has a position up to which the list is not known
+//! to be complete.
 
+use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use async_channel::Receiver;
 use async_io::Timer;
+use briarhall_net::timeout;
 use briarhall_objects::PlatformError;
 use briarhall_policy::resumption::List;
 use briarhall_policy::watch_pace::WatchPace;
@@ -13,12 +20,13 @@
 use futures_lite::future;
 
 use crate::pause_guard::PauseGuard;
+use crate::state::Shared;
 use crate::store_check::StoreReturns;
 use crate::store_gate::StoreGate;
 
 /// Longest wait of one watch call; TCP keepalive probes detect a broken
 /// connection well before.
-pub const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
+const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
 /// Delay after a call that failed or a watch that could not begin. It doubles up
 /// to the shortest time between two reads of a series of changes.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(60);
@@ -35,8 +43,7 @@
     /// Reads it completely, and returns the position to watch from.
     fn read(&self) -> impl Future<Output = Result<StorePosition, PlatformError>> + Send;
 
-    /// Waits for a change after `since`, and returns the position to continue
-    /// from.
+    /// Waits for a change after `since`, no longer than `wait`.
     ///
     /// # Errors
     ///
@@ -44,12 +51,22 @@
     fn watch(
         &self,
         since: StorePosition,
-    ) -> impl Future<Output = Result<StorePosition, PlatformError>> + Send;
+        wait: Duration,
+    ) -> impl Future<Output = Result<Delivered, PlatformError>> + Send;
 
     /// Called when a read or a watch has failed.
     fn on_unavailable(&self) {}
 }
 
+/// The answer to a watch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Delivered {
+    /// Position up to which the changes are complete, to continue from.
+    pub position: StorePosition,
+    /// Whether there was a change.
+    pub is_change: bool,
+}
+
 /// What tells a task when to call the store.
 #[derive(Debug, Clone)]
 pub struct StoreSignals {
@@ -58,10 +75,15 @@
     /// Receives a message when other gateways have had for long what this one's watch does
     /// not deliver.
     pub overdue: Receiver<()>,
+    /// Receives a message when the list may not be complete: the time in which the store
+    /// has to answer which changes there are.
+    pub doubts: Receiver<Duration>,
     /// Open while this gateway reads the store.
     pub gate: StoreGate,
     /// Is told which lists were read since the last pause of the process.
     pub pause_guard: PauseGuard,
+    /// Control state, which knows how far each list is complete.
+    pub shared: Arc<Shared>,
 }
 
 /// Checks that the answer of a watch follows what was read before. In another era
@@ -90,9 +112,17 @@
     let StoreSignals {
         returns: store_returns,
         overdue,
+        doubts,
         gate,
         pause_guard,
+        shared,
     } = signals;
+    let watcher = Watcher {
+        followed: &followed,
+        shared: &shared,
+        gate: &gate,
+        doubts: &doubts,
+    };
     let mut position = None;
     let mut pace = WatchPace::new(min_interval);
     let max_backoff = min_interval.max(MIN_LONGEST_BACKOFF);
@@ -109,8 +139,11 @@
         let called_at = Instant::now();
         let call = async {
             Some(match position {
-                None => followed.read().await,
-                Some(since) => followed.watch(since).await,
+                None => followed.read().await.map(|position| Delivered {
+                    position,
+                    is_change: true,
+                }),
+                Some(since) => watcher.watch(since).await,
             })
         };
         let abandoned = async {
@@ -131,14 +164,16 @@
         let call = if position.is_some() { "watch" } else { "read" };
         let after_ms = u64::try_from(called_at.elapsed().as_millis()).unwrap_or(u64::MAX);
         match read {
-            Some(Ok(at)) => {
+            Some(Ok(delivered)) => {
                 gate.record_answer();
+                watcher.record_complete(delivered.position);
                 // Only a watch resets the delay: a read that succeeds does not
                 // show that a watch can begin.
                 if position.is_some() {
                     backoff = INITIAL_BACKOFF;
                 }
-                if position.replace(at) != Some(at) {
+                position = Some(delivered.position);
+                if delivered.is_change {
                     let pause = pace.changed(Instant::now());
                     if !pause.is_zero() {
                         Timer::after(pause).await;
@@ -179,15 +214,94 @@
     }
 }
 
+/// Watches one object or list, and asks for its changes when the watch may not deliver them.
+struct Watcher<'a, F> {
+    followed: &'a F,
+    shared: &'a Shared,
+    gate: &'a StoreGate,
+    doubts: &'a Receiver<Duration>,
+}
+
+/// What happens while a watch waits.
+enum Step {
+    /// The watch was answered.
+    Answered(Result<Delivered, PlatformError>),
+    /// The list may not be complete.
+    Doubted(Duration),
+    /// The store has told which changes there are, or has not in time.
+    Asked(Option<Result<Delivered, PlatformError>>),
+}
+
+impl<F> Watcher<'_, F>
+where
+    F: Followed,
+{
+    async fn watch(&self, since: StorePosition) -> Result<Delivered, PlatformError> {
+        let began = Instant::now();
+        // It was raised before this watch was called.
+        let _earlier = self.doubts.try_recv();
+        let mut waiting = pin!(self.followed.watch(since, WATCH_TIMEOUT));
+        let mut complete_to = since;
+        loop {
+            let answered = async { Step::Answered(waiting.as_mut().await) };
+            let doubted = async { Step::Doubted(told(self.doubts).await) };
+            let limit = match future::or(answered, doubted).await {
+                Step::Doubted(limit) => limit,
+                Step::Answered(answer) => return answer,
+                Step::Asked(_) => continue,
+            };
+            self.gate.record_call();
+            let answered = async { Step::Answered(waiting.as_mut().await) };
+            let asked = async {
+                let changes = self.followed.watch(complete_to, Duration::ZERO);
+                Step::Asked(timeout(limit, changes).await.ok())
+            };
+            match future::or(answered, asked).await {
+                Step::Answered(answer) => return answer,
+                Step::Asked(Some(Ok(delivered))) if delivered.is_change => {
+                    self.record_lost_watch(began, delivered.position);
+                    return Ok(delivered);
+                }
+                Step::Asked(Some(Ok(delivered))) => {
+                    self.gate.record_answer();
+                    complete_to = delivered.position;
+                    self.record_complete(complete_to);
+                }
+                Step::Asked(Some(Err(PlatformError::Expired))) => {
+                    return Err(PlatformError::Expired);
+                }
+                Step::Asked(failed) => {
+                    let error = failed.map(|e| e.err().map(|e| e.to_string()));
+                    let error = error.flatten().unwrap_or_else(|| "no answer".to_owned());
+                    log::info!(event = "changes_unknown", what = F::NAME, error = error.as_str(); "the store does not tell whether a watch has delivered everything");
+                }
+                Step::Doubted(_) => {}
+            }
+        }
+    }
+
+    fn record_complete(&self, position: StorePosition) {
+        let mut state = self.shared.state();
+        state.deliveries.record_complete(F::LIST, position);
+    }
+
+    fn record_lost_watch(&self, began: Instant, position: StorePosition) {
+        let waited_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.shared.metrics.count("watch_lost");
+        log::warn!(event = "watch_lost", what = F::NAME, waited_ms, era = position.era, revision = position.revision; "the store has changes that a watch did not deliver; watching anew");
+    }
+}
+
 /// Waits until the store has returned from an outage.
 async fn returned(store_returns: &StoreReturns) {
     told(store_returns).await;
 }
 
 /// Waits for a message.
-async fn told(messages: &Receiver<()>) {
-    if messages.recv().await.is_err() {
+async fn told<M>(messages: &Receiver<M>) -> M {
+    match messages.recv().await {
+        Ok(message) => message,
         // Nothing sends any more.
-        future::pending::<()>().await;
+        Err(_closed) => future::pending().await,
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -17,10 +17,13 @@
 use briarhall_policy::departures::HeardBy;
 use briarhall_policy::peers::DOWN_AFTER;
 use briarhall_policy::peers::HEARTBEAT_INTERVAL;
+use briarhall_policy::peers::HeldConfiguration;
 use briarhall_policy::peers::PeerUpdate;
 use briarhall_policy::peers::Presence;
 use briarhall_policy::peers::regular_interval;
 use briarhall_policy::replica_limits::REPEAT_INTERVAL;
+use briarhall_policy::resumption::List;
+use briarhall_types::StorePosition;
 use futures_lite::future;
 
 use crate::evacuation_watch;
@@ -69,6 +72,8 @@
     /// Evacuations that began or ended: also gateways that place no requests now may
     /// get one at any moment.
     evacuation_changes: u64,
+    /// Reads of the store's last position, which spare the others theirs.
+    confirmations: u64,
 }
 
 /// Decides which gateways a round of heartbeats goes to.
@@ -144,6 +149,7 @@
             places_requests: presence.places_requests,
             cut_off: presence.cut_off,
             evacuation_changes: state.evacuations.changes(),
+            confirmations: state.deliveries.confirmations(),
         };
         let due = self
             .all_sent_at
@@ -180,6 +186,7 @@
             known,
             cold: state.cold_replicas.own_report(now),
             shortage: state.shortage.known().shares.report(now),
+            delivery: state.deliveries.report(now),
         };
         drop(state);
         let bytes = self.encode(shared, &mut heartbeat);
@@ -277,6 +284,37 @@
     }
 }
 
+/// How far a gateway has each list.
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    configuration: HeldConfiguration,
+    replicas: StorePosition,
+    /// Absent where the gateway does not follow or know them.
+    evacuations: Option<StorePosition>,
+}
+
+impl Held {
+    fn of(state: &State) -> Self {
+        let evacuations = &state.evacuations;
+        Self {
+            configuration: state.held_configuration(),
+            replicas: state.replicas.position(),
+            evacuations: evacuations.is_known().then(|| evacuations.position()),
+        }
+    }
+
+    /// Returns whether this gateway has all of a list that another one has.
+    fn has_all(self, other: Self, list: List) -> bool {
+        match list {
+            List::Configuration => self.configuration >= other.configuration,
+            List::Replicas => self.replicas >= other.replicas,
+            List::Evacuations => {
+                other.evacuations.is_some() && self.evacuations >= other.evacuations
+            }
+        }
+    }
+}
+
 fn apply(shared: &Shared, heartbeat: Heartbeat) {
     let now = Instant::now();
     let Heartbeat {
@@ -294,6 +332,7 @@
         known,
         cold,
         shortage,
+        delivery,
     } = heartbeat;
     if presence.vm == shared.settings.vm && presence.incarnation == shared.incarnation {
         return;
@@ -302,6 +341,11 @@
     let vm = presence.vm.clone();
     let incarnation = presence.incarnation;
     let (ready, stopping) = (presence.ready, presence.stopping);
+    let theirs = Held {
+        configuration: presence.configuration,
+        replicas: presence.replicas,
+        evacuations: evacuations.as_ref().map(|report| report.position),
+    };
     let is_newly_cut_off = presence.cut_off && !state.peers.is_cut_off(&vm);
     let new = known
         .into_iter()
@@ -343,6 +387,11 @@
     let events = events.collect::<Vec<_>>();
     state.record_replica_events(&events, "peer");
     let evacuated = evacuations.map(|report| state.evacuations.apply_report(&report, now));
+    if let Some(report) = delivery {
+        let own = Held::of(&state);
+        let has_all = |list| own.has_all(theirs, list);
+        state.deliveries.apply_report(&report, has_all, now);
+    }
     drop(state);
     evacuation_watch::record(shared, &evacuated.unwrap_or_default(), "peer");
     if matches!(update, PeerUpdate::Up | PeerUpdate::Changed) {
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -6,6 +6,7 @@
 use briarhall_policy::cold_replicas::ColdReport;
 use briarhall_policy::crashes::Observation;
 use briarhall_policy::crashing_parts::PartObservation;
+use briarhall_policy::delivery::DeliveryReport;
 use briarhall_policy::departures::ReplicaProcess;
 use briarhall_policy::evacuations::EvacuationReport;
 use briarhall_policy::health::FailedRequests;
@@ -21,6 +22,7 @@
 
 use crate::heartbeat_sections::Sections;
 use crate::heartbeat_sections::append_cold;
+use crate::heartbeat_sections::append_delivery;
 use crate::heartbeat_sections::append_shortage;
 
 /// Longest time in a heartbeat, in milliseconds: a day; no request takes that
@@ -66,6 +68,10 @@
     /// Usage by organisation, in a shortage; a section after the encoded heartbeat.
     #[serde(skip)]
     pub shortage: Option<ShortageReport>,
+    /// The store's last position, and how far the sender's lists are complete; a section
+    /// after the encoded heartbeat, if anything is known.
+    #[serde(skip)]
+    pub delivery: Option<DeliveryReport>,
 }
 
 /// Says why a datagram is not a valid heartbeat.
@@ -98,6 +104,9 @@
         if let Some(report) = &self.shortage {
             append_shortage(&mut bytes, report);
         }
+        if let Some(report) = &self.delivery {
+            append_delivery(&mut bytes, report);
+        }
         bytes
     }
 
@@ -167,6 +176,7 @@
         let sections = Sections::read(sections)?;
         heartbeat.cold = sections.cold;
         heartbeat.shortage = sections.shortage;
+        heartbeat.delivery = sections.delivery;
         let in_flight = heartbeat.in_flight.iter();
         let queued_prompts = heartbeat.queued_prompts.iter();
         let valid = in_flight.map(|work| work.prefill_ms).all(is_duration)
--- a/crates/gateway/src/heartbeat_sections.rs
+++ b/crates/gateway/src/heartbeat_sections.rs
@@ -4,6 +4,7 @@
 //! gateway skips sections whose kind it does not know.
 
 use briarhall_policy::cold_replicas::ColdReport;
+use briarhall_policy::delivery::DeliveryReport;
 use briarhall_policy::shares_in_shortage::ShortageReport;
 use serde::Serialize;
 
@@ -11,6 +12,8 @@
 const SHORTAGE: u8 = 1;
 /// Kind of the section about replicas that may be cold.
 const COLD: u8 = 2;
+/// Kind of the section about the store's last position and the sender's lists.
+const DELIVERY: u8 = 3;
 
 /// The sections of a heartbeat.
 #[derive(Debug, Default)]
@@ -19,6 +22,8 @@
     pub cold: ColdReport,
     /// Usage by organisation.
     pub shortage: Option<ShortageReport>,
+    /// The store's last position, and how far the sender's lists are complete.
+    pub delivery: Option<DeliveryReport>,
 }
 
 impl Sections {
@@ -34,6 +39,7 @@
             match kind {
                 SHORTAGE => sections.shortage = Some(postcard::from_bytes(content)?),
                 COLD => sections.cold = postcard::from_bytes(content)?,
+                DELIVERY => sections.delivery = Some(postcard::from_bytes(content)?),
                 _ => {}
             }
             bytes = rest;
@@ -60,6 +66,15 @@
     append(bytes, SHORTAGE, report);
 }
 
+/// Appends a report about the store's last position and the sender's lists.
+///
+/// # Panics
+///
+/// Never: postcard can encode every type in a report.
+pub fn append_delivery(bytes: &mut Vec<u8>, report: &DeliveryReport) {
+    append(bytes, DELIVERY, report);
+}
+
 fn append<T>(bytes: &mut Vec<u8>, kind: u8, report: &T)
 where
     T: Serialize,
--- a/crates/gateway/src/replica_watch.rs
+++ b/crates/gateway/src/replica_watch.rs
@@ -10,8 +10,8 @@
 use briarhall_types::StorePosition;
 
 use crate::control_plane::ControlPlane;
+use crate::follow::Delivered;
 use crate::follow::Followed;
-use crate::follow::WATCH_TIMEOUT;
 use crate::follow::same_era;
 use crate::state::Shared;
 
@@ -51,13 +51,18 @@
         Ok(snapshot.position)
     }
 
-    async fn watch(&self, since: StorePosition) -> Result<StorePosition, PlatformError> {
-        let changes = self.plane.watch_replicas(since, WATCH_TIMEOUT).await?;
+    async fn watch(
+        &self,
+        since: StorePosition,
+        wait: Duration,
+    ) -> Result<Delivered, PlatformError> {
+        let changes = self.plane.watch_replicas(since, wait).await?;
         same_era(since, changes.position)?;
         let now = Instant::now();
         let mut state = self.shared.state();
         state.replicas.registry_available(now);
-        if !changes.changes.is_empty() {
+        let is_change = !changes.changes.is_empty();
+        if is_change {
             let events = state
                 .replicas
                 .apply_changes(changes.changes, changes.position, now);
@@ -65,7 +70,10 @@
             drop(state);
             self.shared.request_heartbeat();
         }
-        Ok(changes.position)
+        Ok(Delivered {
+            position: changes.position,
+            is_change,
+        })
     }
 
     fn on_unavailable(&self) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use briarhall_policy::cold_replicas::ColdBound;
 use briarhall_policy::peers::VmName;
 use briarhall_policy::policies::Policy;
+use briarhall_policy::resumption::List;
 use briarhall_policy::window_budget::BudgetBound;
 use briarhall_types::ZoneName;
 
@@ -58,3 +59,15 @@
     /// Log level filter.
     pub log: String,
 }
+
+impl Settings {
+    /// Returns the lists in the store that are followed.
+    #[must_use]
+    pub fn lists(&self) -> Vec<List> {
+        let mut lists = vec![List::Configuration, List::Replicas];
+        if self.evacuated_within.is_some() {
+            lists.push(List::Evacuations);
+        }
+        lists
+    }
+}
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -23,7 +23,6 @@
 use briarhall_net::bind_bounded;
 use briarhall_policy::capacity::Capacity;
 use briarhall_policy::holdings::Pool;
-use briarhall_policy::resumption::List;
 use briarhall_types::ClientLimits;
 use futures_lite::StreamExt;
 
@@ -32,6 +31,7 @@
 use crate::config_watch::FollowedConfiguration;
 use crate::control_plane::ControlPlane;
 use crate::crash_check;
+use crate::delivery_check::DeliveryCheck;
 use crate::directory::Directory;
 use crate::error::StartError;
 use crate::evacuation_watch;
@@ -275,13 +275,10 @@
     C: ControlPlane,
 {
     let interval = shared.settings.min_watch_interval;
-    let follows_evacuations = shared.settings.evacuated_within.is_some();
     let mut store_check = StoreCheck::new(Arc::clone(shared), plane.clone());
     let mut gates = StoreGates::new(Arc::clone(shared));
-    let mut lists = vec![List::Configuration, List::Replicas];
-    if follows_evacuations {
-        lists.push(List::Evacuations);
-    }
+    let mut delivery_check = DeliveryCheck::new(Arc::clone(shared));
+    let lists = shared.settings.lists();
     let returns = lists.iter().map(|_| store_check.returns());
     let returns = returns.collect::<Vec<_>>();
     let followers = store_check.followers();
@@ -291,12 +288,14 @@
     // Heartbeats carry the evacuated zones themselves, so these are never overdue.
     let (_evacuations_overdue, evacuations_overdue_rx) = async_channel::bounded(1);
     let overdue = [overdue_rx, replicas_overdue_rx, evacuations_overdue_rx];
-    let signals = returns.into_iter().zip(overdue);
-    let signals = signals.map(|(returns, overdue)| StoreSignals {
+    let signals = returns.into_iter().zip(overdue).zip(&lists);
+    let signals = signals.map(|((returns, overdue), list)| StoreSignals {
         returns,
         overdue,
+        doubts: delivery_check.doubts(*list),
         gate: gates.gate(),
         pause_guard: pause_guard.clone(),
+        shared: Arc::clone(shared),
     });
     let mut signals = signals.collect::<Vec<_>>().into_iter();
     keep_running!(executor, "pauses", PauseGuard::run(pause_guard));
@@ -336,6 +335,11 @@
     }
     let gate = gates.gate();
     keep_running!(executor, "store_check", StoreCheck::run(store_check, gate));
+    keep_running!(
+        executor,
+        "delivery_check",
+        DeliveryCheck::run(delivery_check)
+    );
     keep_running!(executor, "store_gates", StoreGates::run(gates));
     let overdue = Overdue {
         configuration: configuration_overdue,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 use briarhall_policy::crashes::Crashes;
 use briarhall_policy::crashing_parts::CrashingParts;
 use briarhall_policy::crashing_parts::replica_digest;
+use briarhall_policy::delivery::Deliveries;
 use briarhall_policy::evacuations::Evacuations;
 use briarhall_policy::health::Health;
 use briarhall_policy::health::SendOutcome;
@@ -126,6 +127,8 @@
     pub peers: Peers,
     /// Whether this gateway reads the store.
     pub store_readers: StoreReaders,
+    /// How far the lists are known to be complete.
+    pub deliveries: Deliveries,
     /// Client requests that arrive at this gateway.
     pub request_rate: RequestRate,
     /// Whether the directory names this gateway to clients, as of its last
@@ -210,6 +213,7 @@
             shortage: Shortage::default(),
             peers: Peers::default(),
             store_readers: StoreReaders::new(settings.all_read_up_to, settings.in_force_within),
+            deliveries: Deliveries::new(&settings.lists(), settings.in_force_within),
             request_rate: RequestRate::default(),
             advertised: false,
             stopping: false,
--- a/crates/gateway/tests/heartbeat.rs
+++ b/crates/gateway/tests/heartbeat.rs
@@ -16,6 +16,8 @@
 use briarhall_policy::crashing_parts::CrashingParts;
 use briarhall_policy::crashing_parts::PartObservation;
 use briarhall_policy::crashing_parts::PartOutcome;
+use briarhall_policy::delivery::Deliveries;
+use briarhall_policy::delivery::DeliveryReport;
 use briarhall_policy::departures::HeardBy;
 use briarhall_policy::departures::ReplicaProcess;
 use briarhall_policy::evacuations::EvacuationReport;
@@ -38,6 +40,7 @@
 use briarhall_policy::replica_limits::MAX_TURN;
 use briarhall_policy::replica_limits::ReplicaLimits;
 use briarhall_policy::replicas::Replicas;
+use briarhall_policy::resumption::List;
 use briarhall_policy::shares_in_shortage::Asking;
 use briarhall_policy::shares_in_shortage::Claim;
 use briarhall_policy::shares_in_shortage::Lane;
@@ -203,6 +206,7 @@
         known: vec![address(4), address(5)],
         cold: cold_report(),
         shortage: None,
+        delivery: None,
     }
 }
 
@@ -410,6 +414,7 @@
         known,
         cold,
         shortage,
+        delivery,
     } = heartbeat;
     let vm = presence.vm.clone();
     let incarnation = presence.incarnation;
@@ -437,6 +442,9 @@
         assert_eq!(event, None, "the registry lists no such replica");
     }
     ColdReplicas::default().apply_report(incarnation, &cold, now);
+    if let Some(report) = &delivery {
+        apply_delivery(report, now);
+    }
     if let Some(report) = shortage {
         apply_shortage(incarnation, report, now);
     }
@@ -522,6 +530,71 @@
     assert_eq!(heartbeat.as_ref(), Ok(&heartbeat_in_shortage()));
 }
 
+/// Time in which changes must be in force.
+const IN_FORCE: Duration = Duration::from_secs(2);
+const REVISION: StorePosition = StorePosition {
+    era: 1,
+    revision: 300,
+};
+
+/// Returns a heartbeat of a gateway that has read one list of the store.
+fn heartbeat_with_delivery() -> Heartbeat {
+    let now = Instant::now();
+    let mut deliveries = Deliveries::new(&[List::Configuration, List::Replicas], IN_FORCE);
+    deliveries.record_check(REVISION, false, now, now);
+    deliveries.record_complete(List::Replicas, REVISION);
+    Heartbeat {
+        delivery: deliveries.report(now),
+        ..heartbeat()
+    }
+}
+
+/// The section of that report as the build that added it encodes it.
+const DELIVERY_SECTION: [u8; 11] = [3, 9, 1, 172, 2, 0, 1, 1, 1, 172, 2];
+
+/// Guards against reports of the store's last position that later builds encode otherwise,
+/// while VMs are replaced one after the other. It follows all that earlier builds know.
+#[test]
+fn a_report_of_the_last_position_keeps_its_bytes() {
+    let with = heartbeat_with_delivery();
+    let bytes = with.encode();
+    let section = bytes.strip_prefix(heartbeat().encode().as_slice());
+    assert_eq!(section, Some(DELIVERY_SECTION.as_slice()));
+    assert_eq!(Heartbeat::decode(&bytes), Ok(with));
+}
+
+/// Guards against lists of a later build that keep a gateway from reading the others.
+#[test]
+fn a_report_of_a_list_that_is_unknown_is_read() {
+    let mut bytes = heartbeat().encode();
+    let mut section = DELIVERY_SECTION;
+    let number_of_list = &mut section[7];
+    *number_of_list = 9;
+    bytes.extend(section);
+    let delivery = Heartbeat::decode(&bytes).expect("a heartbeat").delivery;
+    let delivery = delivery.expect("a report");
+    let now = Instant::now();
+    let mut deliveries = Deliveries::new(&[List::Replicas], IN_FORCE);
+    deliveries.record_complete(List::Replicas, StorePosition::default());
+    deliveries.apply_report(&delivery, |_| true, now);
+    let due = deliveries.due(1, now + IN_FORCE, &mut rand::rng());
+    assert!(due.is_empty(), "its time begins now: {due:?}");
+    let due = deliveries.due(1, now + IN_FORCE * 2, &mut rand::rng());
+    assert_eq!(due.len(), 1, "the list is not known to be complete");
+}
+
+/// Applies a report of the store's last position, and makes the queries that a gateway makes.
+fn apply_delivery(report: &DeliveryReport, now: Instant) {
+    let lists = [List::Configuration, List::Replicas, List::Evacuations];
+    let mut deliveries = Deliveries::new(&lists, IN_FORCE);
+    deliveries.record_complete(List::Replicas, REVISION);
+    deliveries.apply_report(report, |_| true, now);
+    let _either = deliveries.confirms(now);
+    let due = deliveries.due(2, now + IN_FORCE, &mut rand::rng());
+    assert!(due.iter().all(|(_, limit)| *limit <= IN_FORCE), "{due:?}");
+    assert!(deliveries.report(now).is_some());
+}
+
 #[test]
 fn a_heartbeat_decodes_to_what_was_encoded() {
     let sent = heartbeat();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod crashes;
 pub mod crashing_parts;
 pub mod deadline_queue;
+pub mod delivery;
 pub mod departures;
 pub mod detours;
 pub mod engine;
--- a/crates/policy/tests/news_in_time.rs
+++ b/crates/policy/tests/news_in_time.rs
@@ -1,20 +1,25 @@
 //! The way of a change from the store to each gateway of a large deployment, in virtual time:
 //! watches of the readers, heartbeats, reads from other gateways over their links, reads of
-//! the store. Each link of that way may be sound by itself while the whole is late.
+//! the store, proofs that a watch has delivered everything. Each link of that way may be sound
+//! by itself while the whole is late.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
+use briarhall_policy::delivery::Deliveries;
 use briarhall_policy::peer_reads::LIMIT_DIVISOR;
 use briarhall_policy::peer_reads::MAX_SILENCE;
 use briarhall_policy::peer_reads::PeerReads;
+use briarhall_policy::peers::HEARTBEAT_INTERVAL;
 use briarhall_policy::peers::HeldConfiguration;
 use briarhall_policy::peers::Peers;
 use briarhall_policy::peers::Presence;
 use briarhall_policy::peers::regular_interval;
+use briarhall_policy::resumption::List;
 use briarhall_policy::store_checks::StoreChecks;
 use briarhall_policy::store_readers::ALL_READ_UP_TO;
+use briarhall_policy::store_readers::MAX_HEARD_AGE;
 use briarhall_policy::store_readers::OwnPlace;
 use briarhall_policy::store_readers::StoreReaders;
 use briarhall_types::StorePosition;
@@ -22,6 +27,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+/// Gateways of most tests.
 const GATEWAYS: usize = 100;
 /// The first gateways are those that the directory names.
 const ADVERTISED: usize = 12;
@@ -40,10 +46,15 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time in which changes must be in force.
 const IN_FORCE: Duration = Duration::from_secs(3);
+/// The same in a small deployment, and in one of hundreds of gateways.
+const IN_FORCE_SMALL: Duration = Duration::from_secs(2);
+const IN_FORCE_AIM: Duration = Duration::from_secs(10);
 const SERIES_INTERVAL: Duration = Duration::from_millis(300);
 const OWN_WATCH_GRACE: Duration = Duration::from_millis(950);
 /// Time from a call to the first byte of its answer.
 const ROUND_TRIP: Duration = Duration::from_millis(20);
+/// Time from a read of the store's last position to the heartbeat that tells of it.
+const ANNOUNCED_AFTER: Duration = Duration::from_millis(50);
 /// Time in which a connection must be established.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// Time until the deployment has come to rest.
@@ -89,18 +100,24 @@
 struct Gateway {
     fault: Fault,
     peers: Peers,
+    deliveries: Deliveries,
     readers: StoreReaders,
     reads: PeerReads,
     version: u64,
     sequence: u64,
     next_heartbeat: Duration,
+    next_placing_heartbeat: Duration,
     next_check: Duration,
     next_look: Duration,
     from_peer: Option<Transfer>,
     from_store: Option<Transfer>,
+    /// Position of the store at which that began.
+    reading_to: u64,
     /// Version that the store has delivered or is delivering; `None` before a whole read.
     watched: Option<u64>,
     read_store: bool,
+    /// When the store answers a call for changes.
+    asked: Option<Duration>,
 }
 
 impl Gateway {
@@ -113,6 +130,10 @@
     }
 }
 
+fn position(revision: u64) -> StorePosition {
+    StorePosition { era: 0, revision }
+}
+
 fn link(gateway: usize) -> f64 {
     if gateway < LARGE {
         LARGE_LINK
@@ -121,53 +142,121 @@
     }
 }
 
+/// A deployment.
+#[derive(Debug, Clone, Copy)]
+struct Plan {
+    gateways: usize,
+    advertised: usize,
+    in_force: Duration,
+    document_bytes: f64,
+    /// Time between two changes of other kinds in the store, if there are any.
+    other_changes: Option<Duration>,
+    /// Whether gateways look for proofs that watches have delivered everything.
+    proofs: bool,
+}
+
+impl Plan {
+    fn with_document(document_bytes: f64) -> Self {
+        Self {
+            gateways: GATEWAYS,
+            advertised: ADVERTISED,
+            in_force: IN_FORCE,
+            document_bytes,
+            other_changes: None,
+            proofs: true,
+        }
+    }
+}
+
+/// Calls to the store, of all gateways together.
+#[derive(Debug, Clone, Copy, Default)]
+struct Calls {
+    /// Checks whose answer may be old, which cost a tenth of another call.
+    checks: u32,
+    /// Checks that read the last position.
+    confirmations: u32,
+    /// Calls for the changes of the document that do not wait.
+    asked: u32,
+}
+
+impl Calls {
+    /// Returns what they cost, in calls for what is current.
+    fn price(self) -> f64 {
+        f64::from(self.checks) / 10.0 + f64::from(self.confirmations + self.asked)
+    }
+}
+
 struct Site {
+    plan: Plan,
     start: Instant,
     at: Duration,
     version: u64,
-    document_bytes: f64,
+    /// Last position of the store.
+    revision: u64,
+    next_other_change: Option<Duration>,
+    calls: Calls,
     gateways: Vec<Gateway>,
     rng: StdRng,
 }
 
 impl Site {
-    fn settled(document_bytes: f64, seed: u64) -> Self {
+    fn settled(plan: Plan, seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
-        let interval = regular_interval(GATEWAYS);
+        let interval = regular_interval(plan.gateways);
         let gateway = |_| Gateway {
             fault: Fault::None,
             peers: Peers::default(),
-            readers: StoreReaders::new(ALL_READ_UP_TO, IN_FORCE),
+            deliveries: Deliveries::new(&[List::Configuration], plan.in_force),
+            readers: StoreReaders::new(ALL_READ_UP_TO, plan.in_force),
             reads: PeerReads::new(OWN_WATCH_GRACE),
             version: 1,
             sequence: 0,
             next_heartbeat: interval.mul_f64(rng.random::<f64>()),
-            next_check: IN_FORCE.mul_f64(rng.random::<f64>() / 4.0),
+            next_placing_heartbeat: HEARTBEAT_INTERVAL.mul_f64(rng.random::<f64>()),
+            next_check: plan.in_force.mul_f64(rng.random::<f64>() / 4.0),
             next_look: LOOK_INTERVAL.mul_f64(rng.random::<f64>()),
             from_peer: None,
             from_store: None,
+            reading_to: 0,
             watched: Some(1),
             read_store: false,
+            asked: None,
         };
-        let gateways = (0..GATEWAYS).map(gateway).collect();
+        let gateways = (0..plan.gateways).map(gateway).collect();
         let mut site = Self {
+            plan,
             start: Instant::now(),
             at: Duration::ZERO,
             version: 1,
-            document_bytes,
+            revision: 1,
+            next_other_change: plan.other_changes,
+            calls: Calls::default(),
             gateways,
             rng,
         };
+        for gateway in &mut site.gateways {
+            let at = position(site.revision);
+            gateway.deliveries.record_complete(List::Configuration, at);
+        }
         site.run(SETTLING);
-        let reading = site.gateways.iter().filter(|g| g.readers.reads()).count();
-        assert_eq!(reading, ADVERTISED, "the others stand by");
         site
     }
 
+    /// Returns how many gateways read the store.
+    fn reading(&self) -> usize {
+        self.gateways.iter().filter(|g| g.readers.reads()).count()
+    }
+
     fn run(&mut self, time: Duration) {
         let end = self.at + time;
         while self.at < end {
-            for n in 0..GATEWAYS {
+            if let Some((at, interval)) = self.next_other_change.zip(self.plan.other_changes)
+                && self.at >= at
+            {
+                self.revision += 1;
+                self.next_other_change = Some(at + interval);
+            }
+            for n in 0..self.gateways.len() {
                 if self.gateways[n].is_up() {
                     self.step(n);
                 }
@@ -179,16 +268,33 @@
 
     fn step(&mut self, n: usize) {
         let (at, now) = (self.at, self.start + self.at);
+        let (all, placing) = (self.plan.gateways, self.plan.advertised);
         if at >= self.gateways[n].next_heartbeat {
-            self.gateways[n].next_heartbeat = at + regular_interval(GATEWAYS);
-            self.send_heartbeat(n);
+            self.gateways[n].next_heartbeat = at + regular_interval(all);
+            self.gateways[n].next_placing_heartbeat = at + HEARTBEAT_INTERVAL;
+            self.send_heartbeat(n, all);
+        } else if at >= self.gateways[n].next_placing_heartbeat {
+            self.gateways[n].next_placing_heartbeat = at + HEARTBEAT_INTERVAL;
+            self.send_heartbeat(n, placing);
         }
-        let checks = StoreChecks::new(IN_FORCE);
+        let checks = StoreChecks::new(self.plan.in_force);
+        let revision = self.revision;
         let gateway = &mut self.gateways[n];
         if gateway.readers.reads() && at >= gateway.next_check {
             gateway.next_check = at + checks.interval();
+            let confirms = self.plan.proofs && gateway.deliveries.confirms(now);
+            if confirms {
+                self.calls.confirmations += 1;
+            } else {
+                self.calls.checks += 1;
+            }
             if gateway.hears_store() {
                 gateway.readers.record_answer(now);
+                if confirms {
+                    let at = position(revision);
+                    gateway.deliveries.record_check(at, true, now, now);
+                    gateway.next_heartbeat = self.at + ANNOUNCED_AFTER;
+                }
             }
         }
         if at >= gateway.next_look {
@@ -202,8 +308,8 @@
         let now = self.start + self.at;
         let gateway = &mut self.gateways[n];
         gateway.sequence += 1;
-        let host = u8::try_from(n).expect("few gateways");
-        let address = SocketAddr::from(([127, 0, 0, host], 1));
+        let [high, low] = u16::try_from(n).expect("few gateways").to_be_bytes();
+        let address = SocketAddr::from(([127, 0, high, low], 1));
         Presence {
             vm: format!("vm-{n}").into(),
             incarnation: 1,
@@ -223,17 +329,25 @@
                 position: StorePosition::default(),
             },
             replicas: StorePosition::default(),
-            store: gateway.readers.report(n < ADVERTISED, now),
+            store: gateway.readers.report(n < self.plan.advertised, now),
         }
     }
 
-    fn send_heartbeat(&mut self, from: usize) {
+    /// Sends a heartbeat to the first gateways.
+    fn send_heartbeat(&mut self, from: usize, first: usize) {
         let now = self.start + self.at;
         let presence = self.presence(from);
-        let interval = regular_interval(GATEWAYS);
-        for (to, gateway) in self.gateways.iter_mut().enumerate() {
-            if to != from && gateway.is_up() {
-                gateway.peers.update(presence.clone(), interval, now);
+        let report = self.gateways[from].deliveries.report(now);
+        let report = report.filter(|_| self.plan.proofs);
+        let interval = regular_interval(self.plan.gateways);
+        for (to, gateway) in self.gateways.iter_mut().take(first).enumerate() {
+            if to == from || !gateway.is_up() {
+                continue;
+            }
+            gateway.peers.update(presence.clone(), interval, now);
+            if let Some(report) = &report {
+                let has_all = gateway.version >= presence.configuration.version;
+                gateway.deliveries.apply_report(report, |_| has_all, now);
             }
         }
     }
@@ -258,24 +372,38 @@
             .newer_configuration(held, &zone, now, &mut self.rng);
         let from = from.map(|p| p.relay_address);
         let is_due = gateway.reads.due(from.is_some(), now);
-        if gateway.reads.store_due(IN_FORCE, now) {
+        if gateway.reads.store_due(self.plan.in_force, now) {
             gateway.readers.record_behind(now);
             gateway.read_store = true;
         }
         let own = OwnPlace {
             gateways: gateway.peers.count() + 1,
-            advertised: n < ADVERTISED,
+            advertised: n < self.plan.advertised,
         };
         let reports = gateway.peers.store_readers().collect::<Vec<_>>();
-        if gateway.readers.decide(own, reports, now).is_some() {
+        let decided = gateway.readers.decide(own, reports.iter().copied(), now);
+        if decided.is_some() {
             gateway.watched = None;
             gateway.from_store = None;
         }
+        let readers = reports
+            .iter()
+            .filter(|r| now.saturating_duration_since(r.heard_at) < MAX_HEARD_AGE)
+            .count()
+            + 1;
+        if self.plan.proofs && gateway.readers.reads_lists() && gateway.asked.is_none() {
+            let due = gateway.deliveries.due(readers, now, &mut self.rng);
+            if !due.is_empty() {
+                self.calls.asked += 1;
+                gateway.asked = gateway.hears_store().then_some(at + ROUND_TRIP);
+            }
+        }
         if let Some(SocketAddr::V4(from)) = from
             && is_due
             && gateway.from_peer.is_none()
         {
-            let from = usize::from(from.ip().octets()[3]);
+            let [_, _, high, low] = from.ip().octets();
+            let from = usize::from(u16::from_be_bytes([high, low]));
             gateway.reads.begin(now);
             let version = self.gateways[from].version;
             self.gateways[n].from_peer = Some(Transfer {
@@ -290,8 +418,18 @@
 
     /// Has the store deliver what a gateway watches or reads.
     fn follow(&mut self, n: usize) {
-        let (at, version) = (self.at, self.version);
+        let (at, version, revision) = (self.at, self.version, self.revision);
         let gateway = &mut self.gateways[n];
+        if gateway.asked.is_some_and(|answered_at| at >= answered_at) {
+            gateway.asked = None;
+            let delivered = gateway.watched == Some(version) || gateway.version == version;
+            if delivered && gateway.from_store.is_none() {
+                let at = position(revision);
+                gateway.deliveries.record_complete(List::Configuration, at);
+            } else if gateway.from_store.is_none() {
+                gateway.read_store = true;
+            }
+        }
         if !gateway.readers.reads_lists() || !gateway.hears_store() {
             gateway.from_store = None;
             return;
@@ -310,6 +448,7 @@
                 bytes: 0.0,
                 last_byte: at,
             });
+            gateway.reading_to = revision;
         }
     }
 
@@ -320,7 +459,7 @@
             .gateways
             .iter()
             .flat_map(|g| [g.from_peer, g.from_store]);
-        let mut leaving = [0_u32; GATEWAYS];
+        let mut leaving = vec![0_u32; self.gateways.len()];
         let mut from_store = 0;
         for transfer in transfers.flatten() {
             match transfer.from {
@@ -344,9 +483,11 @@
             };
             if let Some(transfer) = &mut gateway.from_store {
                 carried(transfer, STORE_LINK / f64::from(from_store));
-                if transfer.bytes >= self.document_bytes {
+                if transfer.bytes >= self.plan.document_bytes {
                     gateway.version = gateway.version.max(transfer.version);
                     gateway.from_store = None;
+                    let at = position(gateway.reading_to);
+                    gateway.deliveries.record_complete(List::Configuration, at);
                 }
             }
             let Some(transfer) = &mut gateway.from_peer else {
@@ -362,10 +503,10 @@
                 _ => {
                     carried(transfer, link(from) / f64::from(leaving[from]));
                     let silence = at.saturating_sub(transfer.last_byte);
-                    silence >= MAX_SILENCE || age >= IN_FORCE / LIMIT_DIVISOR
+                    silence >= MAX_SILENCE || age >= self.plan.in_force / LIMIT_DIVISOR
                 }
             };
-            let is_whole = transfer.bytes >= self.document_bytes * DEFLATED_PART;
+            let is_whole = transfer.bytes >= self.plan.document_bytes * DEFLATED_PART;
             if is_over || is_whole {
                 let is_new = is_whole && transfer.version > gateway.version;
                 if is_new {
@@ -385,9 +526,10 @@
     /// it must be in force.
     fn late_after_change(&mut self, strikes: impl Fn(&mut Self), after: Duration) -> usize {
         self.version += 1;
+        self.revision += 1;
         self.run(after);
         strikes(self);
-        self.run(IN_FORCE.saturating_sub(after));
+        self.run(self.plan.in_force.saturating_sub(after));
         let version = self.version;
         let up = self.gateways.iter().filter(|g| g.is_up());
         // Nothing reaches it, so nobody can expect it to know.
@@ -412,7 +554,8 @@
 /// Plays a series of changes, the fault at the second, and counts who is late with any.
 fn plays_in_time(document_bytes: f64, fault: Fault, which: std::ops::Range<usize>, after_ms: u64) {
     for seed in 0..SEEDS {
-        let mut site = Site::settled(document_bytes, seed);
+        let mut site = Site::settled(Plan::with_document(document_bytes), seed);
+        assert_eq!(site.reading(), ADVERTISED, "the others stand by");
         let after = Duration::from_millis(after_ms);
         let late = site.late_after_change(|_| (), after);
         assert_eq!(late, 0, "late with the first change, seed {seed}");
@@ -457,6 +600,10 @@
     readers_refuse: (LARGEST, Full, 0..ADVERTISED, 200),
     /// Failure: the watches of all but one reader deliver nothing, while checks are answered.
     all_watches_but_one_are_dropped: (LARGEST, Deaf, 1..GATEWAYS, 0),
+    /// Failure: the watches of all gateways deliver nothing, while checks are answered.
+    all_watches_are_dropped: (LARGEST, Deaf, 0..GATEWAYS, 0),
+    /// Guards against the same with a small document, as the change is on its way.
+    all_watches_are_dropped_beside_a_change: (SMALL, Deaf, 0..GATEWAYS, 20),
     /// Failure: the store turns all readers away.
     the_store_turns_the_readers_away: (LARGEST, TurnedAway, 0..ADVERTISED, 0),
     /// Failure: the store turns most readers away.
@@ -465,3 +612,103 @@
     /// for longer than they have.
     others_that_have_the_news_fall_silent: (LARGEST, Silent, ADVERTISED..70, 900),
 }
+
+/// Deployments of 2, 48 and 350 gateways, each with the time in which changes must be in
+/// force there, and the calls a second that its store answers.
+const TWO: (Plan, u32) = (
+    Plan {
+        gateways: 2,
+        advertised: 2,
+        in_force: IN_FORCE_SMALL,
+        document_bytes: SMALL,
+        other_changes: None,
+        proofs: true,
+    },
+    2_000,
+);
+const FORTY_EIGHT: (Plan, u32) = (
+    Plan {
+        gateways: 48,
+        advertised: 12,
+        in_force: IN_FORCE,
+        ..TWO.0
+    },
+    6_000,
+);
+const THREE_HUNDRED_AND_FIFTY: (Plan, u32) = (
+    Plan {
+        gateways: 350,
+        advertised: 87,
+        in_force: IN_FORCE_AIM,
+        ..TWO.0
+    },
+    16_000,
+);
+
+/// Time between two changes of other kinds, in a store in which much goes on.
+const OTHER_CHANGES: Duration = Duration::from_millis(500);
+const COUNTED: Duration = Duration::from_secs(10);
+/// Part of the calls that a store answers that may go to proofs.
+const RATE_DIVISOR: f64 = 100.0;
+
+/// Returns the calls a second, their price, and the calls of proofs.
+fn calls_per_s(plan: Plan) -> (f64, f64) {
+    let mut site = Site::settled(plan, 0);
+    site.calls = Calls::default();
+    site.run(COUNTED);
+    let proofs = f64::from(site.calls.confirmations + site.calls.asked);
+    let time = COUNTED.as_secs_f64();
+    (site.calls.price() / time, proofs / time)
+}
+
+/// Asserts that all know a change in time whose watches are all deaf, and how many calls
+/// proofs cost.
+fn proves_in_time((plan, reads_per_s): (Plan, u32)) {
+    let busy = Plan {
+        other_changes: Some(OTHER_CHANGES),
+        ..plan
+    };
+    for plan in [plan, busy] {
+        let (price, proofs) = calls_per_s(plan);
+        let without = Plan {
+            proofs: false,
+            ..plan
+        };
+        let (before, _) = calls_per_s(without);
+        println!(
+            "{} gateways, other changes each {:?}: calls a second cost {price:.1} instead of {before:.1}; {proofs:.1} for proofs",
+            plan.gateways, plan.other_changes,
+        );
+        let most = f64::from(reads_per_s) / RATE_DIVISOR;
+        assert!(proofs <= most, "{proofs} calls a second for proofs");
+    }
+    for (plan, seed) in [(plan, 0), (busy, 1), (busy, 2)] {
+        let mut site = Site::settled(plan, seed);
+        strike(Fault::Deaf, 0..plan.gateways)(&mut site);
+        for round in 0..2 {
+            let late = site.late_after_change(|_| (), Duration::ZERO);
+            assert_eq!(late, 0, "late with change {round}, seed {seed}");
+        }
+    }
+}
+
+macro_rules! proofs {
+    ($($(#[$guard:meta])* $name:ident: $deployment:expr,)*) => {
+        $(
+            $(#[$guard])*
+            #[test]
+            fn $name() {
+                proves_in_time($deployment);
+            }
+        )*
+    };
+}
+
+proofs! {
+    /// Guards against proofs that are late or cost much where two gateways prove for each other.
+    two_deaf_gateways_know_a_change: TWO,
+    /// Guards against the same where all of many read the store.
+    forty_eight_deaf_gateways_know_a_change: FORTY_EIGHT,
+    /// Guards against the same at the size of the aim.
+    three_hundred_and_fifty_deaf_gateways_know_a_change: THREE_HUNDRED_AND_FIFTY,
+}
