An answer that ends before its request is written is not whole yet

What callers saw (MIXED): a replica answers a long upload at once with a 200 that has no length, sends a part and ends while the upload is being written. The client got the part as a complete answer.

Cause: the connection of an exchange ends in order when the replica's process goes and nothing is unread at its system; the reset comes only as more of the upload arrives. hyper reads the end first and takes the body for whole.

Ruled out: a reset without an end before it (an error already, on each way); a length or chunks; a write that fails before the end (passed on as an error); the gateway's own buffering.

Change: `net/upload.rs` counts what is written of a request, and holds the end of an answer back until the request is written and sent. Both kinds of exchange use it, so buffered answers, streams, resumed ones, detours, the product's own routers and calls to the store.

An early answer whose replica reads on stays whole (held before too).

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -18,6 +18,7 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::HOST;
@@ -36,6 +37,7 @@
 use crate::head_limit::HeadLimit;
 use crate::read_limited;
 use crate::timeout;
+use crate::upload::Upload;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle time before the first keepalive probe, and time between probes.
@@ -300,6 +302,7 @@
         enable_keepalive(&stream);
         bound_buffers(&stream, reading);
         let arrived = HeadArrived::default();
+        let stream = Upload::new(stream, req.body().size_hint().exact());
         let stream = HeadLimit::new(stream, arrived.clone());
         let (mut sender, conn) = http1::Builder::new()
             .max_buf_size(EXCHANGE_BUFFER_BYTES)
@@ -326,6 +329,7 @@
             reason: e.to_string(),
         };
         let arrived = HeadArrived::default();
+        let stream = Upload::new(stream, req.body().size_hint().exact());
         let stream = HeadLimit::new(stream, arrived.clone());
         let (mut sender, conn) = http1::handshake(FuturesIo::new(stream))
             .await
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -19,6 +19,7 @@
 mod server;
 mod sessions;
 mod timeout;
+mod upload;
 
 pub use admission::Admission;
 pub use admission::Admitted;
