--- a/crates/lab/tests/tests/configuration.rs
+++ b/crates/lab/tests/tests/configuration.rs
@@ -2,6 +2,7 @@
 //! undone by an older version.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use briarhall_lab::caller::CallOutcome;
 use briarhall_lab::site::CustomerSpec;
@@ -75,6 +76,40 @@
     }
 );
 
+/// Time in which a change must be in force at all routers.
+const IN_FORCE: Duration = Duration::from_secs(10);
+
+site_test!(
+    /// Guards against routers that wait for the answer to a watch that was lost, while the
+    /// platform answers all else. It found no fault: they watch anew after 5 s.
+    lost_watches_delay_a_change_by_seconds_only,
+    spec(),
+    customer(),
+    async |fixture: &mut Fixture| {
+        let from = version(&fixture.status(0).await);
+        let faults = Faults {
+            lost_watches: 1,
+            ..Faults::default()
+        };
+        set_platform_faults(fixture, faults).await;
+        let began = Instant::now();
+        let applied = fixture
+            .site
+            .apply(&fixture.site.routers[&0], &fixture.contract(50), Some(from))
+            .await;
+        let applied = applied.expect("the change is accepted");
+        assert_eq!(applied["state"], "accepted");
+        fixture
+            .site
+            .wait_status("at the new version", |status| version(status) > from)
+            .await
+            .expect("all routers have it");
+        let took = began.elapsed();
+        println!("in force after {took:?}");
+        assert!(took < IN_FORCE, "{took:?}");
+    }
+);
+
 site_test!(
     platform_loses_the_answer_to_a_write,
     spec(),
--- a/crates/standins/src/platform/faults.rs
+++ b/crates/standins/src/platform/faults.rs
@@ -26,6 +26,9 @@
     pub slow_ms: u64,
     /// Percentage of writes that take effect and get no answer.
     pub lost_answers_percent: u8,
+    /// Times that the answers of all watches were lost: those that were called before it was
+    /// raised are never answered, and their connections stay open.
+    pub lost_watches: u64,
     /// Number of revisions by which plain reads lag.
     pub stale_by: u64,
 }
--- a/crates/standins/src/platform/http.rs
+++ b/crates/standins/src/platform/http.rs
@@ -314,7 +314,11 @@
         let wait =
             Duration::from_millis(query_number(query, "wait_ms").unwrap_or(0)).min(MAX_WATCH_WAIT);
         let end = Instant::now() + wait;
+        let lost_watches = self.state().faults.lost_watches;
         loop {
+            if self.state().faults.lost_watches != lost_watches {
+                return futures_lite::future::pending().await;
+            }
             let changed = {
                 let mut state = self.state();
                 let Some(changes) = state.store.changes(kind, since) else {
