Few of many gateways begin to read the store's last position; a plainer watch

As the last read is too long ago for one gateway, it is for all: of 48 about four read it at the same time, before the first could tell the others. Of more than four readers each now begins with the probability that four do, and any of them a quarter of the bound after the last read.

The wait for a watch and the call beside it are two plain steps.

--- a/crates/gateway/src/delivery_check.rs
+++ b/crates/gateway/src/delivery_check.rs
@@ -8,7 +8,6 @@
 use async_channel::Sender;
 use async_io::Timer;
 use briarhall_policy::resumption::List;
-use briarhall_policy::store_readers::MAX_HEARD_AGE;
 
 use crate::state::Shared;
 
@@ -60,9 +59,7 @@
         if !state.store_readers.reads_lists() {
             return Vec::new();
         }
-        let is_heard = |at| now.saturating_duration_since(at) < MAX_HEARD_AGE;
-        let reports = state.peers.store_readers();
-        let others = reports.filter(|report| is_heard(report.heard_at)).count();
-        state.deliveries.due(others + 1, now, &mut rand::rng())
+        let readers = state.peers.heard_readers(now) + 1;
+        state.deliveries.due(readers, now, &mut rand::rng())
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,6 +5,7 @@
 //! store is asked for changes whenever it has a position up to which the list is not known
 //! to be complete.
 
+use std::ops::ControlFlow;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -222,20 +223,12 @@
     doubts: &'a Receiver<Duration>,
 }
 
-/// What happens while a watch waits.
-enum Step {
-    /// The watch was answered.
-    Answered(Result<Delivered, PlatformError>),
-    /// The list may not be complete.
-    Doubted(Duration),
-    /// The store has told which changes there are, or has not in time.
-    Asked(Option<Result<Delivered, PlatformError>>),
-}
-
 impl<F> Watcher<'_, F>
 where
     F: Followed,
 {
+    /// Waits for a change after `since`. Whenever the list may not be complete, asks for its
+    /// changes beside the watch that waits.
     async fn watch(&self, since: StorePosition) -> Result<Delivered, PlatformError> {
         let began = Instant::now();
         // It was raised before this watch was called.
@@ -243,39 +236,35 @@
         let mut waiting = pin!(self.followed.watch(since, WATCH_TIMEOUT));
         let mut complete_to = since;
         loop {
-            let answered = async { Step::Answered(waiting.as_mut().await) };
-            let doubted = async { Step::Doubted(told(self.doubts).await) };
+            let answered = async { ControlFlow::Break(waiting.as_mut().await) };
+            let doubted = async { ControlFlow::Continue(told(self.doubts).await) };
             let limit = match future::or(answered, doubted).await {
-                Step::Doubted(limit) => limit,
-                Step::Answered(answer) => return answer,
-                Step::Asked(_) => continue,
+                ControlFlow::Break(answer) => return answer,
+                ControlFlow::Continue(limit) => limit,
             };
             self.gate.record_call();
-            let answered = async { Step::Answered(waiting.as_mut().await) };
+            let answered = async { ControlFlow::Break(waiting.as_mut().await) };
             let asked = async {
                 let changes = self.followed.watch(complete_to, Duration::ZERO);
-                Step::Asked(timeout(limit, changes).await.ok())
+                ControlFlow::Continue(timeout(limit, changes).await)
             };
-            match future::or(answered, asked).await {
-                Step::Answered(answer) => return answer,
-                Step::Asked(Some(Ok(delivered))) if delivered.is_change => {
+            let changes = match future::or(answered, asked).await {
+                ControlFlow::Break(answer) => return answer,
+                ControlFlow::Continue(changes) => changes,
+            };
+            match changes {
+                Ok(Ok(delivered)) if delivered.is_change => {
                     self.record_lost_watch(began, delivered.position);
                     return Ok(delivered);
                 }
-                Step::Asked(Some(Ok(delivered))) => {
+                Ok(Ok(delivered)) => {
                     self.gate.record_answer();
                     complete_to = delivered.position;
                     self.record_complete(complete_to);
                 }
-                Step::Asked(Some(Err(PlatformError::Expired))) => {
-                    return Err(PlatformError::Expired);
-                }
-                Step::Asked(failed) => {
-                    let error = failed.map(|e| e.err().map(|e| e.to_string()));
-                    let error = error.flatten().unwrap_or_else(|| "no answer".to_owned());
-                    log::info!(event = "changes_unknown", what = F::NAME, error = error.as_str(); "the store does not tell whether a watch has delivered everything");
-                }
-                Step::Doubted(_) => {}
+                Ok(Err(PlatformError::Expired)) => return Err(PlatformError::Expired),
+                Ok(Err(e)) => log_unknown(F::NAME, &e.to_string()),
+                Err(elapsed) => log_unknown(F::NAME, &elapsed.to_string()),
             }
         }
     }
@@ -292,6 +281,10 @@
     }
 }
 
+fn log_unknown(what: &str, error: &str) {
+    log::info!(event = "changes_unknown", what, error; "the store does not tell whether a watch has delivered everything");
+}
+
 /// Waits until the store has returned from an outage.
 async fn returned(store_returns: &StoreReturns) {
     told(store_returns).await;
--- a/crates/gateway/src/store_check.rs
+++ b/crates/gateway/src/store_check.rs
@@ -90,7 +90,12 @@
 
     /// Checks the store, and learns where it is.
     async fn check(&self, limit: Duration, made_at: Instant) -> Result<(), PlatformError> {
-        let confirms = self.shared.state().deliveries.confirms(made_at);
+        let confirms = {
+            let state = self.shared.state();
+            let readers = state.peers.heard_readers(made_at) + 1;
+            let rng = &mut rand::rng();
+            state.deliveries.confirms(readers, made_at, rng)
+        };
         let mut answer = if confirms {
             self.shared.metrics.count("store_head_read");
             self.plane.check(limit, Reading::Latest).await
--- a/crates/gateway/tests/heartbeat.rs
+++ b/crates/gateway/tests/heartbeat.rs
@@ -589,7 +589,7 @@
     let mut deliveries = Deliveries::new(&lists, IN_FORCE);
     deliveries.record_complete(List::Replicas, REVISION);
     deliveries.apply_report(report, |_| true, now);
-    let _either = deliveries.confirms(now);
+    let _either = deliveries.confirms(8, now, &mut rand::rng());
     let due = deliveries.due(2, now + IN_FORCE, &mut rand::rng());
     assert!(due.iter().all(|(_, limit)| *limit <= IN_FORCE), "{due:?}");
     assert!(deliveries.report(now).is_some());
--- a/crates/policy/src/delivery.rs
+++ b/crates/policy/src/delivery.rs
@@ -21,6 +21,8 @@
 /// Part of the time in which changes must be in force that passes between two calls of all
 /// gateways together for the last position of the store.
 const CONFIRMATION_DIVISOR: u32 = 6;
+/// Gateways that are to begin such a call first, on average.
+const FIRST_READERS: u32 = 4;
 /// Part of that time in which a watch delivers a change itself.
 const GRACE_DIVISOR: u32 = 16;
 /// Part of that time over which gateways spread their calls for changes, so that most are
@@ -119,12 +121,21 @@
     }
 
     /// Returns whether the last position of the store is to be read with the next check:
-    /// no gateway is known to have done so in time.
+    /// no gateway is known to have done so in time. Of many `readers`, this one included, a
+    /// few begin, and the others have time to hear of it.
     #[must_use]
-    pub fn confirms(&self, now: Instant) -> bool {
+    pub fn confirms<R>(&self, readers: usize, now: Instant, rng: &mut R) -> bool
+    where
+        R: Rng,
+    {
         let interval = self.in_force_within / CONFIRMATION_DIVISOR;
         let age = |at| now.saturating_duration_since(at);
-        self.confirmed_at.is_none_or(|at| age(at) >= interval)
+        let Some(age) = self.confirmed_at.map(age) else {
+            return true;
+        };
+        let readers = u32::try_from(readers).unwrap_or(u32::MAX);
+        let mut begins = || readers <= FIRST_READERS || rng.random_ratio(FIRST_READERS, readers);
+        age >= interval && (age >= interval * 3 / 2 || begins())
     }
 
     /// Records the position that a check made at `made_at` has returned. Unless it is
--- a/crates/policy/src/peers.rs
+++ b/crates/policy/src/peers.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::store_readers::MAX_HEARD_AGE;
 use crate::store_readers::ReaderReport;
 use crate::store_readers::StoreReading;
 
@@ -244,6 +245,14 @@
         })
     }
 
+    /// Returns how many other gateways that read the store were heard lately.
+    #[must_use]
+    pub fn heard_readers(&self, now: Instant) -> usize {
+        let is_heard = |at| now.saturating_duration_since(at) < MAX_HEARD_AGE;
+        let reports = self.store_readers();
+        reports.filter(|report| is_heard(report.heard_at)).count()
+    }
+
     /// Returns the gateways that accept clients.
     pub fn serving(&self, now: Instant) -> impl Iterator<Item = &Presence> {
         self.up(now).filter(|p| p.ready && !p.stopping)
--- a/crates/policy/tests/delivery.rs
+++ b/crates/policy/tests/delivery.rs
@@ -126,7 +126,10 @@
     let mut deliveries = complete_to(7);
     let has_all = |list| list == List::Configuration;
     deliveries.apply_report(&report, has_all, now);
-    assert!(!deliveries.confirms(now), "the other one has just done so");
+    assert!(
+        !deliveries.confirms(8, now, &mut rng()),
+        "the other one has just done so"
+    );
     let asked = asked(&mut deliveries, now, IN_FORCE / 2);
     assert!(!asked.is_empty());
     assert!(asked.iter().all(|(list, _)| *list == List::Replicas));
@@ -140,11 +143,35 @@
     let mut other = complete_to(8);
     other.record_check(at(8), true, now, now);
     let mut deliveries = complete_to(8);
-    assert!(deliveries.confirms(now), "nobody has read it");
+    assert!(
+        deliveries.confirms(8, now, &mut rng()),
+        "nobody has read it"
+    );
     let late = now + IN_FORCE / 4;
     let report = other.report(late).expect("a report");
     deliveries.apply_report(&report, |_| true, late);
-    assert!(deliveries.confirms(late));
+    assert!(deliveries.confirms(8, late, &mut rng()));
+}
+
+/// Guards against calls of all gateways at the same time, as the last one is too long ago for
+/// each: a few begin. Later each would.
+#[test]
+fn few_of_many_gateways_read_the_last_position() {
+    let now = Instant::now();
+    let mut deliveries = complete_to(8);
+    deliveries.record_check(at(8), true, now, now);
+    let mut rng = rng();
+    let mut begun = |after: Duration, readers: usize| {
+        let confirm = |_| deliveries.confirms(readers, now + after, &mut rng);
+        (0..readers)
+            .map(confirm)
+            .filter(|confirms| *confirms)
+            .count()
+    };
+    assert_eq!(begun(IN_FORCE / 7, 48), 0);
+    assert!((1..=12).contains(&begun(IN_FORCE / 6, 48)));
+    assert_eq!(begun(IN_FORCE / 4, 48), 48);
+    assert_eq!(begun(IN_FORCE / 6, 2), 2);
 }
 
 /// Guards against a position that may be old and counts as the last one.
@@ -153,7 +180,7 @@
     let now = Instant::now();
     let mut deliveries = complete_to(7);
     deliveries.record_check(at(6), false, now, now);
-    assert!(deliveries.confirms(now));
+    assert!(deliveries.confirms(8, now, &mut rng()));
     deliveries.record_check(at(9), false, now, now);
     assert!(!asked(&mut deliveries, now, IN_FORCE).is_empty());
 }
--- a/crates/policy/tests/news_in_time.rs
+++ b/crates/policy/tests/news_in_time.rs
@@ -19,7 +19,6 @@
 use briarhall_policy::resumption::List;
 use briarhall_policy::store_checks::StoreChecks;
 use briarhall_policy::store_readers::ALL_READ_UP_TO;
-use briarhall_policy::store_readers::MAX_HEARD_AGE;
 use briarhall_policy::store_readers::OwnPlace;
 use briarhall_policy::store_readers::StoreReaders;
 use briarhall_types::StorePosition;
@@ -282,7 +281,9 @@
         let gateway = &mut self.gateways[n];
         if gateway.readers.reads() && at >= gateway.next_check {
             gateway.next_check = at + checks.interval();
-            let confirms = self.plan.proofs && gateway.deliveries.confirms(now);
+            let readers = gateway.peers.heard_readers(now) + 1;
+            let confirms =
+                self.plan.proofs && gateway.deliveries.confirms(readers, now, &mut self.rng);
             if confirms {
                 self.calls.confirmations += 1;
             } else {
@@ -381,16 +382,11 @@
             advertised: n < self.plan.advertised,
         };
         let reports = gateway.peers.store_readers().collect::<Vec<_>>();
-        let decided = gateway.readers.decide(own, reports.iter().copied(), now);
-        if decided.is_some() {
+        if gateway.readers.decide(own, reports, now).is_some() {
             gateway.watched = None;
             gateway.from_store = None;
         }
-        let readers = reports
-            .iter()
-            .filter(|r| now.saturating_duration_since(r.heard_at) < MAX_HEARD_AGE)
-            .count()
-            + 1;
+        let readers = gateway.peers.heard_readers(now) + 1;
         if self.plan.proofs && gateway.readers.reads_lists() && gateway.asked.is_none() {
             let due = gateway.deliveries.due(readers, now, &mut self.rng);
             if !due.is_empty() {
