Watches whose changes a gateway does not use are paced again

A writer of other names in the kind of the configuration cost a call for each object: 385 calls in 2 s (12 allowed), since. The pause between two watches came from the position of an answer, and since then from whether the answer held a change that counts. `configuration::objects_of_other_names_do_not_cost_a_call_each` failed before and holds; all 22 tests of deaf watches hold.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -173,8 +173,8 @@
                 if position.is_some() {
                     backoff = INITIAL_BACKOFF;
                 }
-                position = Some(delivered.position);
-                if delivered.is_change {
+                // Changes that are not this gateway's are paced as well.
+                if position.replace(delivered.position) != Some(delivered.position) {
                     let pause = pace.changed(Instant::now());
                     if !pause.is_zero() {
                         Timer::after(pause).await;
