Client: box the exchange of a call

`cargo clippy` refused a future of 16,480 bytes in the router since (large_futures): the connection of a call holds what is unwritten of its request. Nothing else changes; the whole workspace passes the lints.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -262,7 +262,8 @@
         let req = call.into_request()?;
         let stream = connect(address, limit.min(CONNECT_TIMEOUT)).await?;
         enable_keepalive(&stream);
-        let exchange = self.exchange(stream, req, address);
+        // The futures of callers would be large with it.
+        let exchange = Box::pin(self.exchange(stream, req, address));
         timeout(limit, exchange)
             .await
             .map_err(|_e| HttpError::Elapsed { address })?
