review: case 12, a resumed stream shares the tickets of the first run

Claim: while a silent stream is kept and resumed elsewhere, both runs use the same tickets (rule LIMIT), and ending one of them releases the other's memory, which cuts the answer.

--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod case_endless;
+mod case_ticket;
 mod http;
 mod site;
 mod store;
@@ -22,6 +23,7 @@
     let record = site::Record::create();
     let verdict = match name.as_str() {
         "endless" => case_endless::run(&record, trouble),
+        "ticket" => case_ticket::run(&record, trouble),
         _ => Verdict::NotRun(format!("no case is called `{name}`")),
     };
     match verdict {
