review: case 14, comments of a stream that goes on are lost

Claim: while a silent stream is kept and resumed elsewhere, its comment lines are dropped; if it goes on itself, the client gets another body than the replica's (rule MIXED). A lesser case.

--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -2,7 +2,9 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod case_comments;
 mod case_endless;
+mod case_herd;
 mod case_ticket;
 mod http;
 mod site;
@@ -22,7 +24,9 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = site::Record::create();
     let verdict = match name.as_str() {
+        "comments" => case_comments::run(&record, trouble),
         "endless" => case_endless::run(&record, trouble),
+        "herd" => case_herd::run(&record, trouble),
         "ticket" => case_ticket::run(&record, trouble),
         _ => Verdict::NotRun(format!("no case is called `{name}`")),
     };
