review: case 14, bad parts of prompts that come some at a time

Claim: requests with a part that crashes replicas count as one crash if they are under way at the same time, so six at a time reach replicas long after the fifth crash (rule BUDGET).

--- a/review/standins-3/src/case_herd.rs
+++ b/review/standins-3/src/case_herd.rs
@@ -1,5 +1,5 @@
-//! All gateways are killed at the same moment while requests come with a part of a prompt
-//! that crashes replicas.
+//! Requests come with a part of a prompt that crashes replicas: while all gateways are killed
+//! at the same moment, or some at a time.
 
 use std::io::Write;
 use std::net::Shutdown;
@@ -22,6 +22,10 @@
 use crate::Verdict;
 
 const REPLICAS: usize = 8;
+/// Replicas, requests at a time and the time between these where they come so.
+const REPLICAS_FOR_WAVES: usize = 21;
+const WAVE: u32 = 6;
+const WAVE_EACH: Duration = Duration::from_secs(6);
 /// Time for which a replica that has crashed is down.
 const DOWN: Duration = Duration::from_secs(3);
 /// The part that crashes replicas, and one that all requests hold.
@@ -52,11 +56,24 @@
     bad: Mutex<Vec<(String, Instant)>>,
 }
 
-pub fn run(record: &Record, trouble: bool) -> Verdict {
+/// What is disrupted.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Scenario {
+    /// All gateways are killed at the same moment.
+    Herd,
+    /// The requests with the bad part come some at a time.
+    Waves,
+}
+
+pub fn run(record: &Record, trouble: bool, scenario: Scenario) -> Verdict {
     let net = site::network();
     let store = Store::start(&format!("{net}9"));
     let seen = Arc::new(Seen::default());
-    for n in 1..=REPLICAS {
+    let replicas = match scenario {
+        Scenario::Herd => REPLICAS,
+        Scenario::Waves => REPLICAS_FOR_WAVES,
+    };
+    for n in 1..=replicas {
         start_replica(&format!("i-{n}"), &format!("{net}{}", 100 + n), &store, &seen, record);
     }
     store.put("config", "main", CONFIG);
@@ -70,11 +87,15 @@
     let fronts = gateways.iter().map(Gateway::front).collect::<Vec<_>>();
     thread::sleep(STABLE_WINDOW);
     let began = Instant::now();
-    let bad = send_each(BAD_EACH, "b", began, &fronts, record);
-    let sound = send_each(SOUND_EACH, "s", began, &fronts, record);
+    let (at_a_time, bad_each) = match scenario {
+        Scenario::Herd => (1, BAD_EACH),
+        Scenario::Waves => (if trouble { WAVE } else { 1 }, WAVE_EACH),
+    };
+    let bad = send_each(bad_each, at_a_time, "b", began, &fronts, record);
+    let sound = send_each(SOUND_EACH, 1, "s", began, &fronts, record);
     // Since when the gateways have run without a disruption.
     let mut calm_since = began;
-    if trouble {
+    if trouble && scenario == Scenario::Herd {
         thread::sleep(KILL_AT);
         record.line("all gateways are killed");
         gateways.clear();
@@ -120,9 +141,11 @@
 
 type Sent = Vec<(String, Instant, http::Answer)>;
 
-/// Sends requests at an interval, each to the next gateway, and returns what came of them.
+/// Sends requests at an interval, so many at a time, each to the next gateway, and returns what
+/// came of them.
 fn send_each(
     interval: Duration,
+    at_a_time: u32,
     kind: &'static str,
     began: Instant,
     fronts: &[SocketAddr],
@@ -132,7 +155,7 @@
     thread::spawn(move || {
         let mut clients = Vec::new();
         for number in 0_u32.. {
-            let at = began + interval * number;
+            let at = began + interval * (number / at_a_time);
             thread::sleep(at.saturating_duration_since(Instant::now()));
             if began.elapsed() >= ENDS_AT {
                 break;
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -26,7 +26,8 @@
     let verdict = match name.as_str() {
         "comments" => case_comments::run(&record, trouble),
         "endless" => case_endless::run(&record, trouble),
-        "herd" => case_herd::run(&record, trouble),
+        "herd" => case_herd::run(&record, trouble, case_herd::Scenario::Herd),
+        "waves" => case_herd::run(&record, trouble, case_herd::Scenario::Waves),
         "ticket" => case_ticket::run(&record, trouble),
         _ => Verdict::NotRun(format!("no case is called `{name}`")),
     };
